flow: opaque flows on the prepared platform, whole path

Cause: the product served CoAP requests alone; the users' platform gives it packets of opaque flows, heartbeats of targets and a store of its own.

--- a/scripts/install-deps.sh
+++ b/scripts/install-deps.sh
@@ -3,7 +3,7 @@
 set -eu
 packages="gcc make meson ninja-build pkg-config libuv1-dev libprotobuf-c-dev
 libcoap3-dev libjansson-dev libsodium-dev libxxhash-dev uthash-dev
-libcmocka-dev libcurl4-openssl-dev libmicrohttpd-dev scdoc curl"
+libcmocka-dev libcurl4-openssl-dev libhttp-parser-dev libmicrohttpd-dev scdoc curl"
 if [ "${1:-}" = "--ci" ]; then
 	packages="$packages clang-format clang-tidy valgrind"
 fi
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -31,6 +31,12 @@
 	return (struct clock){system_now_ns, NULL};
 }
 
+uint64_t
+clock_boot_ns(void)
+{
+	return read_ns(CLOCK_BOOTTIME);
+}
+
 uint64_t
 clock_wall_ns(void)
 {
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -22,6 +22,9 @@
 uint64_t clock_now_ns(const struct clock *clk);
 /** The monotonic clock of the system. */
 struct clock clock_system(void);
+/** Like the monotonic clock, but counts the time that the machine was
+ * suspended, nanoseconds. */
+uint64_t clock_boot_ns(void);
 /** Wall time in nanoseconds since 1970; used for incarnations alone. */
 uint64_t clock_wall_ns(void);
 
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -72,7 +72,31 @@
 	X(PLATFORM_CALLS, "platform_calls", "calls to the platform") \
 	X(PLATFORM_ERRORS, "platform_errors", \
 	    "calls that failed or timed out") \
-	X(PLATFORM_LIMITED, "platform_limited", "calls refused by rate (429)")
+	X(PLATFORM_LIMITED, "platform_limited", "calls refused by rate (429)") \
+	X(REFUSE_NO_TARGET, "refuse_no_target", \
+	    "openings reset: no target takes them") \
+	X(REFUSE_NO_ROUTE, "refuse_no_route", "packets reset: no such route") \
+	X(RESET_GONE, "reset_flow_gone", "flows reset: no target holds them") \
+	X(RESET_TARGET_LOST, "reset_target_lost", \
+	    "flows reset: their target is gone") \
+	X(RETRY_SERVICE, "retry_wrong_service", \
+	    "openings offered again: another service there") \
+	X(RETRY_LEAVING, "retry_target_leaving", \
+	    "openings offered again: target is leaving") \
+	X(RETRY_UNANSWERED, "retry_unanswered", \
+	    "openings offered again: no answer in time") \
+	X(RETRY_AWAY, "retry_flow_away", "packets returned: flow not there") \
+	X(SEARCHES, "searches", "searches for the agent of a flow") \
+	X(SEARCH_UNKNOWN, "searches_unknown", \
+	    "searches that ended without an answer") \
+	X(DROP_HELD, "drop_held", "packets over what a search holds") \
+	X(DROP_OPENING, "drop_opening", "openings that nobody answered") \
+	X(DROP_TABLE, "drop_table_full", "flows forgotten for newer ones") \
+	X(TARGET_RETURNED, "target_returned", "packets the target sent back") \
+	X(TARGET_WORDS, "target_words", "heartbeats of the target taken") \
+	X(TARGET_WORDS_BAD, "target_words_bad", \
+	    "heartbeats dropped: late, malformed or another's") \
+	X(EVENTS_LEFT_OUT, "events_left_out", "log lines over the budget")
 
 /** Names of the counters. */
 enum counter {
--- /dev/null
+++ b/src/codec/flow_wire.c
@@ -0,0 +1,253 @@
+#include "codec/flow_wire.h"
+
+#include "codec/flow.pb-c.h"
+
+#include <string.h>
+
+#define WIRE_VERSION 1
+
+/* ---- encoding ---- */
+
+static Pwf__Agent
+agent_of(const struct msg_agent *a)
+{
+	Pwf__Agent out = PWF__AGENT__INIT;
+
+	out.service = a->service;
+	out.domain = (char *)(uintptr_t)a->domain;
+	out.data_port = a->data_port;
+	out.state = a->state;
+	out.cold_ms = a->cold_ms;
+	out.slots = a->slots;
+	out.busy_milli = a->busy_milli;
+	out.waiting = a->waiting;
+	out.flows = a->flows;
+	out.period_ms = a->period_ms;
+	out.peers = a->peers;
+	return out;
+}
+
+static Pwf__Balancer
+balancer_of(const struct msg_balancer *b)
+{
+	Pwf__Balancer out = PWF__BALANCER__INIT;
+
+	out.domain = (char *)(uintptr_t)b->domain;
+	out.version = b->version;
+	out.peers = b->peers;
+	out.leaving = b->leaving;
+	return out;
+}
+
+static Pwf__Flow
+flow_of(const struct msg_flow *f)
+{
+	Pwf__Flow out = PWF__FLOW__INIT;
+
+	out.caller = f->flow.caller;
+	out.service = f->flow.service;
+	out.ack = f->ack;
+	out.where = f->where;
+	out.refusal = f->refusal;
+	out.busy_milli = f->busy_milli;
+	out.flows = f->flows;
+	out.packet.len = f->bytes.len;
+	out.packet.data = (uint8_t *)(uintptr_t)f->bytes.p;
+	return out;
+}
+
+static size_t
+pack(const Pwf__Envelope *env, uint8_t *buf, size_t cap)
+{
+	size_t len = pwf__envelope__get_packed_size(env);
+
+	if (len + 1 > cap)
+		return 0;
+	buf[0] = WIRE_VERSION;
+	return pwf__envelope__pack(env, buf + 1) + 1;
+}
+
+static size_t
+encode_peers(
+    Pwf__Envelope *env, const struct msg_peers *list, uint8_t *buf, size_t cap)
+{
+	Pwf__Peers peers = PWF__PEERS__INIT;
+	Pwf__Peer items[FLOW_PEERS_MAX];
+	Pwf__Peer *refs[FLOW_PEERS_MAX];
+
+	for (uint32_t i = 0; i < list->count; i++) {
+		pwf__peer__init(&items[i]);
+		items[i].id = list->peers[i].id;
+		items[i].age_ms = list->peers[i].age_ms;
+		refs[i] = &items[i];
+	}
+	peers.n_peers = list->count;
+	peers.peers = refs;
+	env->body_case = PWF__ENVELOPE__BODY_PEERS;
+	env->peers = &peers;
+	return pack(env, buf, cap);
+}
+
+size_t
+flow_wire_encode(const struct flow_msg *m, uint8_t *buf, size_t cap)
+{
+	Pwf__Envelope env = PWF__ENVELOPE__INIT;
+	Pwf__Agent agent;
+	Pwf__Balancer balancer;
+	Pwf__Flow flow;
+
+	env.kind = m->kind;
+	env.from = m->from;
+	env.incarnation = m->incarnation;
+	env.sequence = m->sequence;
+	switch (m->kind) {
+	case FLOW_MSG_AGENT:
+		agent = agent_of(&m->u.agent);
+		env.body_case = PWF__ENVELOPE__BODY_AGENT;
+		env.agent = &agent;
+		break;
+	case FLOW_MSG_BALANCER:
+		balancer = balancer_of(&m->u.balancer);
+		env.body_case = PWF__ENVELOPE__BODY_BALANCER;
+		env.balancer = &balancer;
+		break;
+	case FLOW_MSG_PEERS:
+		return encode_peers(&env, &m->u.peers, buf, cap);
+	case FLOW_MSG_FIND:
+	case FLOW_MSG_FOUND:
+	case FLOW_MSG_ACCEPTED:
+	case FLOW_MSG_REFUSED:
+	case FLOW_MSG_AWAY:
+		flow = flow_of(&m->u.flow);
+		env.body_case = PWF__ENVELOPE__BODY_FLOW;
+		env.flow = &flow;
+		break;
+	}
+	return pack(&env, buf, cap);
+}
+
+/* ---- decoding ---- */
+
+static void *
+arena_alloc(void *ctx, size_t size)
+{
+	struct flow_arena *a = ctx;
+	size_t at = (a->used + 15) & ~(size_t)15;
+
+	if (at + size > sizeof(a->mem))
+		return NULL;
+	a->used = at + size;
+	return a->mem + at;
+}
+
+static void
+arena_free(void *ctx, void *p)
+{
+	(void)ctx;
+	(void)p;
+}
+
+static bool
+take_agent(const Pwf__Agent *a, struct msg_agent *out)
+{
+	if (a == NULL || a->state >= TARGET_STATES || a->data_port > UINT16_MAX)
+		return false;
+	out->service = a->service;
+	str_copy(out->domain, sizeof(out->domain), str_of(a->domain));
+	out->data_port = (uint16_t)a->data_port;
+	out->state = (enum target_state)a->state;
+	out->cold_ms = a->cold_ms;
+	out->slots = a->slots;
+	out->busy_milli = a->busy_milli;
+	out->waiting = a->waiting;
+	out->flows = a->flows;
+	out->period_ms = a->period_ms;
+	out->peers = a->peers;
+	return true;
+}
+
+static bool
+take_balancer(const Pwf__Balancer *b, struct msg_balancer *out)
+{
+	if (b == NULL)
+		return false;
+	str_copy(out->domain, sizeof(out->domain), str_of(b->domain));
+	out->version = b->version;
+	out->peers = b->peers;
+	out->leaving = b->leaving;
+	return true;
+}
+
+static bool
+take_peers(const Pwf__Peers *list, struct msg_peers *out)
+{
+	if (list == NULL || list->n_peers > FLOW_PEERS_MAX)
+		return false;
+	out->count = (uint32_t)list->n_peers;
+	for (size_t i = 0; i < list->n_peers; i++)
+		out->peers[i] = (struct msg_peer){
+		    list->peers[i]->id, list->peers[i]->age_ms};
+	return true;
+}
+
+static bool
+take_flow(const Pwf__Flow *f, struct msg_flow *out)
+{
+	if (f == NULL || f->where > FLOW_UNSURE ||
+	    f->refusal > FLOW_REFUSED_SILENT || f->packet.len > FLOW_PACKET_MAX)
+		return false;
+	out->flow = (struct flow_key){f->caller, f->service};
+	out->ack = f->ack;
+	out->where = (enum flow_where)f->where;
+	out->refusal = (enum flow_refusal)f->refusal;
+	out->busy_milli = f->busy_milli;
+	out->flows = f->flows;
+	out->bytes = (struct str){(char *)f->packet.data, f->packet.len};
+	return true;
+}
+
+static bool
+take_body(const Pwf__Envelope *env, struct flow_msg *out)
+{
+	switch (out->kind) {
+	case FLOW_MSG_AGENT:
+		return env->body_case == PWF__ENVELOPE__BODY_AGENT &&
+		       take_agent(env->agent, &out->u.agent);
+	case FLOW_MSG_BALANCER:
+		return env->body_case == PWF__ENVELOPE__BODY_BALANCER &&
+		       take_balancer(env->balancer, &out->u.balancer);
+	case FLOW_MSG_PEERS:
+		return env->body_case == PWF__ENVELOPE__BODY_PEERS &&
+		       take_peers(env->peers, &out->u.peers);
+	case FLOW_MSG_FIND:
+	case FLOW_MSG_FOUND:
+	case FLOW_MSG_ACCEPTED:
+	case FLOW_MSG_REFUSED:
+	case FLOW_MSG_AWAY:
+		return env->body_case == PWF__ENVELOPE__BODY_FLOW &&
+		       take_flow(env->flow, &out->u.flow);
+	}
+	return false;
+}
+
+bool
+flow_wire_decode(
+    struct str frame, struct flow_arena *arena, struct flow_msg *out)
+{
+	ProtobufCAllocator alloc = {arena_alloc, arena_free, arena};
+	const Pwf__Envelope *env;
+
+	if (frame.len < 2 || frame.p[0] != WIRE_VERSION)
+		return false;
+	arena->used = 0;
+	env = pwf__envelope__unpack(
+	    &alloc, frame.len - 1, (const uint8_t *)frame.p + 1);
+	if (env == NULL || env->kind < FLOW_MSG_AGENT ||
+	    env->kind > FLOW_MSG_AWAY || env->from == 0)
+		return false;
+	out->kind = (enum flow_msg_kind)env->kind;
+	out->from = env->from;
+	out->incarnation = env->incarnation;
+	out->sequence = env->sequence;
+	return take_body(env, out);
+}
--- a/src/codec/settings.c
+++ b/src/codec/settings.c
@@ -10,6 +10,10 @@
 #define DEFAULT_BUDGET 9000
 #define DEFAULT_GRACE_MS 3000
 #define DEFAULT_FLOWS 65536
+#define DEFAULT_WORD_PERIOD_MS 1000
+#define DEFAULT_FLOW_LIFE_S 60
+#define DEFAULT_PLATFORM_CALLS 10
+#define DEFAULT_LOG_LINES 50
 #define FILE_MAX 65536
 
 /** A file that is being checked. */
@@ -31,6 +35,9 @@
 #define FOR_BALANCER (1U << SET_BALANCER)
 #define FOR_AGENT (1U << SET_AGENT)
 #define FOR_OPERATOR (1U << SET_OPERATOR)
+#define FOR_FLOW_BALANCER (1U << SET_FLOW_BALANCER)
+#define FOR_FLOW_AGENT (1U << SET_FLOW_AGENT)
+#define FOR_FLOWS (FOR_FLOW_BALANCER | FOR_FLOW_AGENT)
 
 /* Keys stand at the top level alone and once, so a search finds the line. */
 static unsigned
@@ -68,17 +75,22 @@
 }
 
 static void
-read_address(struct reader *r, const char *key, json_t *v)
+read_endpoint(struct reader *r, const char *key, json_t *v, struct addr *out)
 {
-	if (!read_addr(v, &r->out->address))
+	if (!read_addr(v, out))
 		fault(r, key, v, "\"IP:PORT\"");
 }
 
+static void
+read_address(struct reader *r, const char *key, json_t *v)
+{
+	read_endpoint(r, key, v, &r->out->address);
+}
+
 static void
 read_target(struct reader *r, const char *key, json_t *v)
 {
-	if (!read_addr(v, &r->out->target))
-		fault(r, key, v, "\"IP:PORT\"");
+	read_endpoint(r, key, v, &r->out->target);
 }
 
 static void
@@ -100,6 +112,45 @@
 	r->out->seed_count = json_array_size(v);
 }
 
+/* Seeds of flows may be none: the platform's store tells the others. */
+static void
+read_balancers(struct reader *r, const char *key, json_t *v)
+{
+	if (json_is_array(v) && json_array_size(v) == 0)
+		return;
+	read_seeds(r, key, v);
+}
+
+static void
+read_packets(struct reader *r, const char *key, json_t *v)
+{
+	read_endpoint(r, key, v, &r->out->packets);
+}
+
+static void
+read_target_packets(struct reader *r, const char *key, json_t *v)
+{
+	read_endpoint(r, key, v, &r->out->target_packets);
+}
+
+static void
+read_target_words(struct reader *r, const char *key, json_t *v)
+{
+	read_endpoint(r, key, v, &r->out->target_words);
+}
+
+static void
+read_readiness(struct reader *r, const char *key, json_t *v)
+{
+	read_endpoint(r, key, v, &r->out->readiness);
+}
+
+static void
+read_metrics(struct reader *r, const char *key, json_t *v)
+{
+	read_endpoint(r, key, v, &r->out->metrics);
+}
+
 static void
 read_text(struct reader *r, const char *key, json_t *v, char *out, size_t cap)
 {
@@ -218,6 +269,36 @@
 	r->out->flow_capacity = read_number(r, key, v, 16, 1000000);
 }
 
+static void
+read_name(struct reader *r, const char *key, json_t *v)
+{
+	read_text(r, key, v, r->out->name, sizeof(r->out->name));
+}
+
+static void
+read_word_period(struct reader *r, const char *key, json_t *v)
+{
+	r->out->word_period_ms = read_number(r, key, v, 100, 60000);
+}
+
+static void
+read_flow_life(struct reader *r, const char *key, json_t *v)
+{
+	r->out->flow_life_s = read_number(r, key, v, 1, 86400);
+}
+
+static void
+read_platform_calls(struct reader *r, const char *key, json_t *v)
+{
+	r->out->platform_calls = read_number(r, key, v, 1, 1000);
+}
+
+static void
+read_log_lines(struct reader *r, const char *key, json_t *v)
+{
+	r->out->log_lines = read_number(r, key, v, 1, 100000);
+}
+
 static void
 read_copies(struct reader *r, const char *key, json_t *v)
 {
@@ -228,10 +309,11 @@
 }
 
 static const struct key keys[] = {
-    {"address", read_address, FOR_BALANCER | FOR_AGENT},
-    {"domain", read_domain, FOR_BALANCER | FOR_AGENT},
+    {"address", read_address, FOR_BALANCER | FOR_AGENT | FOR_FLOWS},
+    {"domain", read_domain, FOR_BALANCER | FOR_AGENT | FOR_FLOWS},
     {"seeds", read_seeds, FOR_BALANCER | FOR_AGENT | FOR_OPERATOR},
-    {"platform", read_platform, FOR_BALANCER | FOR_OPERATOR},
+    {"balancers", read_balancers, FOR_FLOWS},
+    {"platform", read_platform, FOR_BALANCER | FOR_OPERATOR | FOR_FLOWS},
     {"key_file", read_key_file, FOR_BALANCER | FOR_AGENT | FOR_OPERATOR},
     {"log_level", read_log_level, 0},
     {"callers_ip", read_callers_ip, 0},
@@ -239,8 +321,18 @@
     {"hint_capacity", read_hints, 0},
     {"control_budget", read_budget, 0},
     {"grace_ms", read_grace, 0},
-    {"service", read_service, FOR_AGENT},
-    {"target", read_target, FOR_AGENT},
+    {"service", read_service, FOR_AGENT | FOR_FLOW_AGENT},
+    {"target", read_target, FOR_AGENT | FOR_FLOW_AGENT},
+    {"name", read_name, FOR_FLOWS},
+    {"packets", read_packets, FOR_FLOWS},
+    {"readiness", read_readiness, FOR_FLOWS},
+    {"target_packets", read_target_packets, FOR_FLOW_AGENT},
+    {"target_words", read_target_words, FOR_FLOW_AGENT},
+    {"metrics", read_metrics, 0},
+    {"word_period_ms", read_word_period, 0},
+    {"flow_life_s", read_flow_life, 0},
+    {"platform_calls", read_platform_calls, 0},
+    {"log_lines", read_log_lines, 0},
     {"flow_capacity", read_flows, 0},
     {"keep_copies", read_copies, 0},
 };
@@ -309,6 +401,10 @@
 	    .grace_ms = DEFAULT_GRACE_MS,
 	    .flow_capacity = DEFAULT_FLOWS,
 	    .keep_copies = true,
+	    .word_period_ms = DEFAULT_WORD_PERIOD_MS,
+	    .flow_life_s = DEFAULT_FLOW_LIFE_S,
+	    .platform_calls = DEFAULT_PLATFORM_CALLS,
+	    .log_lines = DEFAULT_LOG_LINES,
 	};
 	r.text = read_file(path);
 	if (r.text == NULL) {
--- a/src/codec/settings.h
+++ b/src/codec/settings.h
@@ -20,7 +20,9 @@
 enum set_use {
 	SET_BALANCER,
 	SET_AGENT,
-	SET_OPERATOR
+	SET_OPERATOR,
+	SET_FLOW_BALANCER, /**< carries opaque flows */
+	SET_FLOW_AGENT
 };
 
 /** Settings of one process. */
@@ -42,6 +44,17 @@
 	struct addr target;
 	uint32_t flow_capacity;
 	bool keep_copies;
+	/* For opaque flows alone. */
+	char name[SET_TEXT_MAX]; /**< of this instance in the platform */
+	struct addr packets;	 /**< takes callers' packets, or balancers' */
+	struct addr target_packets; /**< takes the target's packets */
+	struct addr target_words;   /**< takes the target's heartbeats */
+	struct addr readiness;	    /**< tells routers whether it is ready */
+	struct addr metrics;	    /**< counters as text; port 0 for none */
+	uint32_t word_period_ms;    /**< of the target's heartbeats */
+	uint32_t flow_life_s;	    /**< a flow idle for longer is forgotten */
+	uint32_t platform_calls;    /**< budget of this process, a second */
+	uint32_t log_lines;	    /**< budget of this process, a second */
 };
 
 /** Read and check a settings file. */
--- a/src/command/main.c
+++ b/src/command/main.c
@@ -6,6 +6,10 @@
 #include "command/operator.h"
 #include "task/agent_task.h"
 #include "task/balancer_task.h"
+#include "task/flow_agent_task.h"
+#include "task/flow_balancer_task.h"
+
+#include "platform.h"
 
 #include <argp.h>
 #include <curl/curl.h>
@@ -23,11 +27,14 @@
 	const char *command;
 	const char *operand;
 	bool json;
+	bool flows;
 };
 
 static const struct argp_option option_list[] = {
     {"settings", 's', "FILE", 0, "settings of this process, in JSON", 0},
     {"json", 'j', NULL, 0, "print JSON, for scripts", 0},
+    {"flows", 'f', NULL, 0,
+	"balancer, agent: carry opaque flows of the prepared platform", 0},
     {0},
 };
 
@@ -55,6 +62,9 @@
 	case 'j':
 		o->json = true;
 		return 0;
+	case 'f':
+		o->flows = true;
+		return 0;
 	case ARGP_KEY_ARG:
 		if (o->command == NULL)
 			o->command = arg;
@@ -84,14 +94,16 @@
 static int
 run_balancer(const struct options *o, const struct settings *set)
 {
-	(void)o;
+	if (o->flows)
+		return flow_balancer_run(set, o->settings, &platform_edge);
 	return balancer_run(set);
 }
 
 static int
 run_agent(const struct options *o, const struct settings *set)
 {
-	(void)o;
+	if (o->flows)
+		return flow_agent_run(set, o->settings, &platform_edge);
 	return agent_run(set);
 }
 
@@ -153,6 +165,14 @@
 	return EX_USAGE;
 }
 
+static enum set_use
+use_of(const struct command *c, bool flows)
+{
+	if (!flows)
+		return c->use;
+	return c->use == SET_AGENT ? SET_FLOW_AGENT : SET_FLOW_BALANCER;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -172,6 +192,8 @@
 		return complain(c->needs_operand ? "a word is missing after it"
 						 : "nothing may follow it",
 		    o.command);
+	if (o.flows && c->use != SET_BALANCER && c->use != SET_AGENT)
+		return complain("--flows is not for it", o.command);
 	if (c->needs_settings && o.settings == NULL)
 		return complain("--settings is missing", o.command);
 	if (sodium_init() < 0)
@@ -179,7 +201,7 @@
 	curl_global_init(CURL_GLOBAL_ALL);
 	signal(SIGPIPE, SIG_IGN);
 	if (c->needs_settings) {
-		st = set_load(&set, o.settings, c->use);
+		st = set_load(&set, o.settings, use_of(c, o.flows));
 		if (st.code != STATUS_OK) {
 			fprintf(stderr, "%s\n", st.message);
 			return EX_CONFIG;
--- /dev/null
+++ b/src/flow/agent.h
@@ -0,0 +1,94 @@
+/**
+ * @file agent.h
+ * An agent's decisions about opaque flows. Every packet of its target passes
+ * it, so it has the last word: it refuses an opening for another service or
+ * for a target that leaves, and it knows which flows its target holds.
+ */
+#ifndef PW_FLOW_AGENT_H
+#define PW_FLOW_AGENT_H
+
+#include "base/counters.h"
+#include "flow/peers.h"
+#include "flow/table.h"
+#include "flow/target.h"
+
+/** Where decisions lead. */
+struct fa_out {
+	/** Give a packet to the target. */
+	void (*deliver)(void *ctx, const struct flow_packet *p);
+	/** Send a packet of the target to its caller. */
+	void (*answer)(void *ctx, const struct flow_packet *p);
+	/** End a flow towards its caller; ack is the caller's latest. */
+	void (*reset)(void *ctx, const struct flow_key *flow, uint32_t ack);
+	/** Send a message to a balancer. */
+	void (*send)(void *ctx, uint64_t to, const struct flow_msg *m);
+};
+
+/** What an agent is started with. */
+struct fa_setup {
+	uint64_t id; /**< addr_pack() of its control address */
+	uint64_t incarnation;
+	uint16_t data_port;
+	const char *domain;
+	const char *service;
+	struct addr target;
+	uint64_t word_period_ms; /**< of the target's words */
+	uint64_t flow_life_ms;	 /**< a flow idle for longer is forgotten */
+	size_t flow_capacity;
+	const uint64_t *seeds; /**< ids of balancers to begin with */
+	size_t seed_count;
+};
+
+/** An agent. */
+struct fa {
+	struct fa_setup setup;
+	const struct fa_out *out;
+	void *ctx;
+	struct counters *ctr;
+	struct flow_table flows;
+	struct target target;
+	struct peers peers;
+	/** Whether it has seen all of its target's life. */
+	bool knows_all;
+	uint64_t sequence;
+	uint64_t busy_milli; /**< requests at the target, smoothed */
+	uint64_t busy_ns;    /**< when it was last brought up to date */
+	uint64_t ticked_ns;
+	uint64_t told_ns;
+	uint64_t asked_ns; /**< a list of balancers was asked for */
+	uint64_t expired_ns;
+	enum target_state told; /**< state that balancers were told last */
+	unsigned tell_again;	/**< rounds that follow a change at once */
+	uint64_t leaving_ns;	/**< 0: not leaving */
+};
+
+/** Start; out, ctr and the texts of setup are borrowed. */
+void fa_init(struct fa *fa, const struct fa_setup *setup,
+    const struct fa_out *out, void *ctx, struct counters *ctr, uint64_t now);
+/** Free what it holds. */
+void fa_clear(struct fa *fa);
+/** A caller's packet came by way of a balancer. */
+void fa_caller(
+    struct fa *fa, uint64_t via, const struct flow_packet *p, uint64_t now);
+/** A packet came from the target, its own or one that it returned. */
+void fa_target(struct fa *fa, const struct flow_packet *p, uint64_t now);
+/** The target said something of itself. */
+enum word_result fa_word(
+    struct fa *fa, const struct target_word *w, uint64_t now);
+/** A message came from a balancer. */
+void fa_message(struct fa *fa, const struct flow_msg *m, uint64_t now);
+/** Time passes; to be called every FA_TICK_MS. */
+void fa_tick(struct fa *fa, uint64_t now);
+/** This process stood still. */
+void fa_paused(struct fa *fa, uint64_t gap_ms, uint64_t now);
+/** The store names a balancer: tell it of this agent. */
+void fa_meet(struct fa *fa, uint64_t id, uint64_t now);
+/** A stop was asked for. */
+void fa_leave(struct fa *fa, uint64_t now);
+/** Whether a stop that was asked for harms nobody any more. */
+bool fa_left(const struct fa *fa, uint64_t now);
+
+/** Period of fa_tick(), ms. */
+#define FA_TICK_MS 50
+
+#endif
--- /dev/null
+++ b/src/flow/agents.c
@@ -0,0 +1,170 @@
+#include "flow/agents.h"
+
+#include "base/clock.h"
+
+#include <stdlib.h>
+
+struct agent_view *
+agents_find(const struct agents *a, uint64_t id)
+{
+	struct agent_view *v;
+
+	HASH_FIND(hh, a->table, &id, sizeof(id), v);
+	return v;
+}
+
+static struct agent_group *
+group_of(const struct agents *a, uint32_t service)
+{
+	struct agent_group *g;
+
+	HASH_FIND(hh, a->groups, &service, sizeof(service), g);
+	return g;
+}
+
+const struct agent_group *
+agents_group(const struct agents *a, uint32_t service)
+{
+	return group_of(a, service);
+}
+
+static void
+leave_group(struct agent_view *v)
+{
+	struct agent_group *g = v->group;
+
+	if (g == NULL)
+		return;
+	for (size_t i = 0; i < g->count; i++) {
+		if (g->members[i] == v)
+			g->members[i] = g->members[--g->count];
+	}
+	v->group = NULL;
+}
+
+static void
+join_group(struct agents *a, struct agent_view *v)
+{
+	struct agent_group *g = group_of(a, v->said.service);
+
+	if (g != NULL && v->group == g)
+		return;
+	leave_group(v);
+	if (g == NULL) {
+		g = mem_new(sizeof(*g));
+		g->service = v->said.service;
+		HASH_ADD(hh, a->groups, service, sizeof(g->service), g);
+	}
+	g->members = mem_grow(g->members, g->count + 1, sizeof(*g->members));
+	g->members[g->count++] = v;
+	v->group = g;
+}
+
+static void
+forget(struct agents *a, struct agent_view *v)
+{
+	leave_group(v);
+	HASH_DEL(a->table, v);
+	free(v);
+}
+
+void
+agents_clear(struct agents *a)
+{
+	struct agent_view *v, *next;
+	struct agent_group *g, *next_group;
+
+	HASH_ITER(hh, a->table, v, next)
+	{
+		forget(a, v);
+	}
+	HASH_ITER(hh, a->groups, g, next_group)
+	{
+		HASH_DEL(a->groups, g);
+		free(g->members);
+		free(g);
+	}
+}
+
+static struct agent_view *
+find_or_add(struct agents *a, uint64_t id)
+{
+	struct agent_view *v = agents_find(a, id);
+
+	if (v != NULL)
+		return v;
+	v = mem_new(sizeof(*v));
+	v->id = id;
+	HASH_ADD(hh, a->table, id, sizeof(v->id), v);
+	return v;
+}
+
+struct agent_view *
+agents_heard(struct agents *a, const struct flow_msg *m, uint64_t now)
+{
+	struct agent_view *v = find_or_add(a, m->from);
+
+	if (v->incarnation == m->incarnation && m->sequence <= v->sequence)
+		return NULL;
+	if (m->incarnation == v->life_before)
+		return NULL;
+	if (v->incarnation != m->incarnation) {
+		v->life_before = v->incarnation;
+		v->incarnation = m->incarnation;
+	}
+	v->sequence = m->sequence;
+	v->said = m->u.agent;
+	v->heard_ns = now;
+	v->cold_until_ns = now + m->u.agent.cold_ms * NS_PER_MS;
+	v->placed = 0;
+	join_group(a, v);
+	return v;
+}
+
+void
+agents_load(struct agents *a, const struct flow_msg *m)
+{
+	struct agent_view *v = agents_find(a, m->from);
+
+	if (v == NULL || v->incarnation != m->incarnation)
+		return;
+	v->said.busy_milli = m->u.flow.busy_milli;
+	v->said.flows = m->u.flow.flows;
+	if (v->placed > 0)
+		v->placed--;
+}
+
+bool
+agents_silent(const struct agent_view *v, uint64_t now)
+{
+	uint64_t bound =
+	    ((uint64_t)AGENT_MISSES * v->said.period_ms + AGENT_LATE_MS) *
+	    NS_PER_MS;
+
+	return now > v->heard_ns + bound;
+}
+
+void
+agents_expire(struct agents *a, uint64_t now)
+{
+	struct agent_view *v, *next;
+
+	HASH_ITER(hh, a->table, v, next)
+	{
+		if (now > v->heard_ns + AGENT_FORGET_MS * NS_PER_MS)
+			forget(a, v);
+	}
+}
+
+size_t
+agents_live(const struct agents *a, uint64_t now)
+{
+	size_t live = 0;
+	struct agent_view *v, *next;
+
+	HASH_ITER(hh, a->table, v, next)
+	{
+		live += agents_silent(v, now) ? 0 : 1;
+	}
+	return live;
+}
--- /dev/null
+++ b/src/flow/agents.h
@@ -0,0 +1,73 @@
+/**
+ * @file agents.h
+ * What a balancer believes of the agents, from their own heartbeats: whose
+ * service they run, whether their target takes new flows, and its load.
+ */
+#ifndef PW_AGENTS_H
+#define PW_AGENTS_H
+
+#include "flow/message.h"
+
+#include <uthash.h>
+
+/** Heartbeats missed until an agent counts as silent. */
+#define AGENT_MISSES 3
+/** Allowance for a late heartbeat, ms: a process with a small share of a
+ * core may be held up for as long. */
+#define AGENT_LATE_MS 400
+/** A silent agent is forgotten after this, ms: longer than a planned restart
+ * and than the cuts that are seen. */
+#define AGENT_FORGET_MS 15000
+
+/** One agent. */
+struct agent_view {
+	uint64_t id; /**< addr_pack() of its control address */
+	uint64_t incarnation;
+	uint64_t life_before; /**< its incarnation before this one */
+	uint64_t sequence;
+	struct msg_agent said; /**< its latest heartbeat */
+	uint64_t heard_ns;
+	uint64_t cold_until_ns;
+	uint64_t avoid_until_ns; /**< did not answer an opening in time */
+	uint32_t placed;	 /**< flows given to it since it last said */
+	struct agent_group *group;
+	UT_hash_handle hh;
+};
+
+/** The agents of one service. */
+struct agent_group {
+	uint32_t service; /**< flow_service_tag() */
+	struct agent_view **members;
+	size_t count;
+	UT_hash_handle hh;
+};
+
+/** All agents. */
+struct agents {
+	struct agent_view *table;
+	struct agent_group *groups;
+};
+
+/** Free what the tables hold. */
+void agents_clear(struct agents *a);
+/** Find an agent; NULL when it is not known. */
+struct agent_view *agents_find(const struct agents *a, uint64_t id);
+/** The agents of a service; NULL when there are none. */
+const struct agent_group *agents_group(
+    const struct agents *a, uint32_t service);
+/**
+ * Take in a heartbeat; one that comes late or out of order is dropped.
+ * @return the agent, NULL when the heartbeat was old
+ */
+struct agent_view *agents_heard(
+    struct agents *a, const struct flow_msg *m, uint64_t now);
+/** Take in the load that came with word on one flow. */
+void agents_load(struct agents *a, const struct flow_msg *m);
+/** Whether an agent has missed its heartbeats. */
+bool agents_silent(const struct agent_view *v, uint64_t now);
+/** Forget agents that were silent for AGENT_FORGET_MS. */
+void agents_expire(struct agents *a, uint64_t now);
+/** Agents that are not silent. */
+size_t agents_live(const struct agents *a, uint64_t now);
+
+#endif
--- /dev/null
+++ b/src/flow/peers.h
@@ -0,0 +1,55 @@
+/**
+ * @file peers.h
+ * The balancers that a process knows, and how long ago each was heard of.
+ * Lists merge by the least age, so any order of messages gives the same.
+ */
+#ifndef PW_PEERS_H
+#define PW_PEERS_H
+
+#include "flow/message.h"
+
+#include <uthash.h>
+
+/** A balancer not heard of for so long is forgotten, ms: three of the longest
+ * rounds in which lists are exchanged. */
+#define PEER_FORGET_MS 20000
+
+/** A balancer. */
+struct peer {
+	uint64_t id;	    /**< addr_pack() of its control address */
+	uint64_t heard_ns;  /**< of it, by whomever */
+	uint64_t direct_ns; /**< from it, 0 for never */
+	uint64_t version;   /**< configuration in force there */
+	char domain[FLOW_NAME_MAX];
+	bool leaving;
+	UT_hash_handle hh;
+};
+
+/** All of them but oneself. */
+struct peers {
+	uint64_t self; /**< not kept as a peer; 0 at an agent */
+	struct peer *table;
+};
+
+/** Free what the table holds. */
+void peers_clear(struct peers *p);
+/** Find a balancer; NULL when it is not known. */
+struct peer *peers_find(const struct peers *p, uint64_t id);
+/**
+ * Take in that a balancer was heard of.
+ * @return whether it is new
+ */
+bool peers_note(struct peers *p, uint64_t id, uint64_t heard_ns);
+/** Take in a balancer's own heartbeat. @return whether it is new */
+bool peers_heard(
+    struct peers *p, uint64_t id, const struct msg_balancer *b, uint64_t now);
+/** Forget those not heard of for PEER_FORGET_MS. */
+void peers_expire(struct peers *p, uint64_t now);
+/** Digest of who is known, oneself included; the order does not matter. */
+uint64_t peers_digest(const struct peers *p);
+/** Write a list; oneself comes first, then from a place that moves on. */
+void peers_list(const struct peers *p, uint64_t now, struct msg_peers *out);
+/** Number of balancers known. */
+size_t peers_count(const struct peers *p);
+
+#endif
--- /dev/null
+++ b/src/task/flow_agent_task.c
@@ -0,0 +1,281 @@
+#include "task/flow_agent_task.h"
+
+#include "base/clock.h"
+#include "base/event.h"
+#include "flow/agent.h"
+#include "task/flow_node.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/** No balancer answered within this: the store's entries are read, ms. */
+#define LONELY_MS 1000
+/** They are read again after this while nobody answers, ms. */
+#define LONELY_AGAIN_MS 5000
+
+struct task_state {
+	struct flow_node node;
+	struct fa fa;
+	struct store *store;
+	struct udp target;   /**< where the target's packets come in */
+	struct web words;    /**< where the target's heartbeats come in */
+	uint64_t listed_ns;  /**< store's entries asked for, or begin */
+	uint64_t message_ns; /**< latest message of a balancer */
+};
+
+/* ---- packets ---- */
+
+static void
+on_packet(void *ctx, struct str dgram, struct addr src)
+{
+	struct task_state *t = ctx;
+	struct flow_packet p;
+
+	if (t->node.edge->read_packet(dgram, FLOW_FROM_CALLER, &p))
+		fa_caller(&t->fa, addr_pack(src), &p, flow_node_now());
+	else
+		ctr_inc(&t->node.ctr, CTR_DROP_MALFORMED);
+}
+
+static void
+on_target_packet(void *ctx, struct str dgram, struct addr src)
+{
+	struct task_state *t = ctx;
+	struct flow_packet p;
+
+	(void)src;
+	if (t->node.edge->read_packet(dgram, FLOW_FROM_TARGET, &p))
+		fa_target(&t->fa, &p, flow_node_now());
+	else
+		ctr_inc(&t->node.ctr, CTR_DROP_MALFORMED);
+}
+
+static void
+deliver(void *ctx, const struct flow_packet *p)
+{
+	struct task_state *t = ctx;
+
+	udp_send(&t->target, t->node.set.target, p->bytes);
+}
+
+static void
+answer(void *ctx, const struct flow_packet *p)
+{
+	struct task_state *t = ctx;
+	struct addr to = {
+	    addr_unpack(p->flow.caller).ip, t->node.set.packets.port};
+
+	udp_send(&t->node.packets, to, p->bytes);
+}
+
+static void
+reset(void *ctx, const struct flow_key *flow, uint32_t ack)
+{
+	struct task_state *t = ctx;
+
+	flow_node_reset(&t->node, flow, ack);
+}
+
+static void
+send_message(void *ctx, uint64_t to, const struct flow_msg *m)
+{
+	struct task_state *t = ctx;
+
+	flow_node_send(&t->node, to, m);
+}
+
+static const struct fa_out out = {deliver, answer, reset, send_message};
+
+/* ---- calls ---- */
+
+static void
+on_word(void *ctx, const struct web_call *call, struct web_answer *out_answer)
+{
+	struct task_state *t = ctx;
+	struct target_word w;
+	struct status st =
+	    t->node.edge->read_word(call->method, call->path, call->body, &w);
+
+	out_answer->type = "application/json";
+	out_answer->body = str_of(t->node.edge->word_answer);
+	if (st.code != STATUS_OK) {
+		ctr_inc(&t->node.ctr, CTR_TARGET_WORDS_BAD);
+		event("target_word_malformed", "s:s", "error", st.message);
+		out_answer->status = st.code == STATUS_DENIED ? 404 : 400;
+		return;
+	}
+	fa_word(&t->fa, &w, flow_node_now());
+	out_answer->status = 200;
+}
+
+static void
+on_call(void *ctx, const struct web_call *call, struct web_answer *out_answer)
+{
+	struct task_state *t = ctx;
+
+	if (!str_is(call->path, t->node.edge->ready_path))
+		return;
+	out_answer->status = t->fa.leaving_ns == 0 ? 200 : 503;
+}
+
+static size_t
+gauges(void *ctx, char *buf, size_t cap, uint64_t now)
+{
+	struct task_state *t = ctx;
+	int n = snprintf(buf, cap,
+	    "# TYPE pw_flows gauge\npw_flows %u\n"
+	    "# TYPE pw_requests_waiting gauge\npw_requests_waiting %u\n"
+	    "# TYPE pw_target_state gauge\npw_target_state %d\n"
+	    "# TYPE pw_target_word_age_ms gauge\npw_target_word_age_ms %llu\n"
+	    "# TYPE pw_balancers gauge\npw_balancers %zu\n",
+	    t->fa.flows.open, t->fa.flows.waiting, (int)t->fa.told,
+	    (unsigned long long)((now - t->fa.target.word_ns) / NS_PER_MS),
+	    peers_count(&t->fa.peers));
+
+	return n < 0 || (size_t)n >= cap ? 0 : (size_t)n;
+}
+
+/* ---- members ---- */
+
+static void
+on_members(void *ctx, const struct edge_members *list)
+{
+	struct task_state *t = ctx;
+
+	for (size_t i = 0; i < list->count; i++)
+		fa_meet(&t->fa, list->items[i].id, flow_node_now());
+}
+
+/* Seeds may be gone: the store tells who else there is. */
+static void
+look_around(struct task_state *t, uint64_t now)
+{
+	uint64_t wait = t->message_ns == 0 ? LONELY_MS : LONELY_AGAIN_MS;
+
+	if (now < t->message_ns + LONELY_AGAIN_MS * NS_PER_MS ||
+	    now < t->listed_ns + wait * NS_PER_MS)
+		return;
+	t->listed_ns = now;
+	store_list_members(t->store);
+}
+
+/* ---- time ---- */
+
+static void
+on_message(void *ctx, const struct flow_msg *m, uint64_t now)
+{
+	struct task_state *t = ctx;
+
+	t->message_ns = now;
+	fa_message(&t->fa, m, now);
+}
+
+static void
+on_paused(void *ctx, uint64_t gap_ms, uint64_t now)
+{
+	struct task_state *t = ctx;
+
+	fa_paused(&t->fa, gap_ms, now);
+}
+
+static void
+on_tick(void *ctx, uint64_t now)
+{
+	struct task_state *t = ctx;
+
+	fa_tick(&t->fa, now);
+	look_around(t, now);
+	if (fa_left(&t->fa, now))
+		sup_finish(&t->node.sup);
+}
+
+static void
+on_reloaded(void *ctx)
+{
+	struct task_state *t = ctx;
+
+	t->fa.setup.seed_count = t->node.seed_count;
+	t->fa.setup.flow_life_ms = t->node.set.flow_life_s * 1000ULL;
+	t->fa.target.period_ms = t->node.set.word_period_ms;
+}
+
+/* ---- life ---- */
+
+static const struct flow_node_ops ops = {.message = on_message,
+    .tick = on_tick,
+    .paused = on_paused,
+    .reloaded = on_reloaded,
+    .gauges = gauges,
+    .call = on_call};
+
+static const struct store_events store_events = {NULL, on_members};
+
+static struct status
+start(void *self)
+{
+	struct task_state *t = self;
+	struct flow_node *n = &t->node;
+	const struct fa_setup setup = {.id = n->id,
+	    .incarnation = n->incarnation,
+	    .data_port = n->set.packets.port,
+	    .domain = n->set.domain,
+	    .service = n->set.service,
+	    .target = n->set.target,
+	    .word_period_ms = n->set.word_period_ms,
+	    .flow_life_ms = n->set.flow_life_s * 1000ULL,
+	    .flow_capacity = n->set.flow_capacity,
+	    .seeds = n->seeds,
+	    .seed_count = n->seed_count};
+	struct status st = flow_node_open(n, on_packet);
+
+	if (st.code != STATUS_OK)
+		return st;
+	t->listed_ns = flow_node_now();
+	fa_init(&t->fa, &setup, &out, t, &n->ctr, t->listed_ns);
+	t->store = flow_node_store(n, &store_events, t);
+	st = udp_open(
+	    &t->target, n->loop, n->set.target_packets, on_target_packet, t);
+	if (st.code == STATUS_OK)
+		st = web_open(
+		    &t->words, n->loop, n->set.target_words, on_word, t);
+	return st;
+}
+
+static void
+stop(void *self)
+{
+	struct task_state *t = self;
+
+	store_free(t->store);
+	udp_close(&t->target, NULL);
+	web_close(&t->words);
+	flow_node_close(&t->node);
+}
+
+static void
+leave(void *ctx)
+{
+	struct task_state *t = ctx;
+
+	event("leaving", "s:i, s:i", "flows", (int)t->fa.flows.open, "waiting",
+	    (int)t->fa.flows.waiting);
+	fa_leave(&t->fa, flow_node_now());
+}
+
+int
+flow_agent_run(const struct settings *set, const char *settings_path,
+    const struct edge *edge)
+{
+	struct task_state *t = mem_new(sizeof(*t));
+	int rc;
+
+	flow_node_init(&t->node, uv_default_loop(), set, settings_path,
+	    SET_FLOW_AGENT, edge, &ops, t);
+	sup_init(&t->node.sup, t->node.loop, leave, t);
+	sup_add(&t->node.sup, "flows", start, stop, t);
+	rc = sup_run(&t->node.sup);
+	fa_clear(&t->fa);
+	free(t);
+	return rc;
+}
