search: a flow is placed among few agents and looked for there first

Change: a flow's four candidates of each failure domain follow from the flow by rendezvous hashing; it is placed on the cheapest of them, and a search asks the own domain's candidates, then the others', then all.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -87,6 +87,9 @@
 	    "openings offered again: no answer in time") \
 	X(RETRY_AWAY, "retry_flow_away", "packets returned: flow not there") \
 	X(SEARCHES, "searches", "searches for the agent of a flow") \
+	X(SEARCH_ASKED, "search_asked", "agents asked for a flow") \
+	X(SEARCH_PROBES, "search_probes", \
+	    "packets tried at targets whose agent is unsure") \
 	X(SEARCH_UNKNOWN, "searches_unknown", \
 	    "searches that ended without an answer") \
 	X(DROP_HELD, "drop_held", "packets over what a search holds") \
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -165,7 +165,7 @@
 	    .domain = fb->setup.domain,
 	    .tried = e->tried,
 	    .tried_count = e->tried_count,
-	    .salt = rng_next(&fb->rng),
+	    .flow = flow_hash(&e->flow),
 	    .now = now};
 
 	return e->tried_count == PLACE_TRIES_MAX ? NULL : place_choose(&ask);
@@ -305,32 +305,43 @@
 /* ---- searches ---- */
 
 static void
-ask(struct fb *fb, struct search *e, uint64_t now)
+ask_next(struct fb *fb, struct search *e, uint64_t now)
 {
+	const struct search_field field = {.agents = &fb->agents,
+	    .route = routes_find(&fb->routes, e->flow.service),
+	    .domain = fb->setup.domain};
 	struct flow_msg m = {.kind = FLOW_MSG_FIND};
+	size_t first;
 
 	m.u.flow.flow = e->flow;
 	m.u.flow.ack = e->ack;
-	e->asked_ns = now;
-	e->rounds++;
-	for (size_t i = 0; i < e->asked_count; i++)
-		send(fb, e->asked[i], &m);
+	search_next(e, &field, now, &first);
+	ctr_add(fb->ctr, CTR_SEARCH_ASKED, e->asked_count - first);
+	for (size_t i = first; i < e->asked_count; i++)
+		send(fb, e->asked[i].agent, &m);
 }
 
-/* End a search whose outcome is known; packets still held are dropped. */
+/*
+ * Go on with a search, or end it when its outcome is known; packets still
+ * held are dropped then.
+ */
 static void
-conclude(struct fb *fb, struct search *e, uint64_t now)
+go_on(struct fb *fb, struct search *e, uint64_t now)
 {
 	char caller[ADDR_TEXT_MAX];
-	enum search_verdict verdict = search_verdict(e, now);
+	enum search_verdict verdict;
+
+	if (search_due(e, now))
+		ask_next(fb, e, now);
+	verdict = search_verdict(e, now);
 
 	if (verdict == SEARCH_OPEN)
 		return;
-	event("search_ended", "s:s, s:s, s:i, s:i, s:i, s:I", "caller",
+	event("search_ended", "s:s, s:s, s:i, s:i, s:b, s:I", "caller",
 	    addr_text(addr_unpack(e->flow.caller), caller), "outcome",
-	    verdict == SEARCH_NOBODY ? "nobody" : "unknown", "denied",
-	    (int)e->denied, "unsure", (int)e->unsure, "unheard",
-	    (int)e->asked_count, "took_ms",
+	    verdict == SEARCH_NOBODY ? "nobody" : "unknown", "asked",
+	    (int)e->asked_count, "open", (int)e->pending, "complete",
+	    (int)e->complete, "took_ms",
 	    (json_int_t)((now - e->began_ns) / NS_PER_MS));
 	if (verdict == SEARCH_NOBODY && certain(fb, now))
 		reset(fb, &e->flow, e->ack, CTR_RESET_GONE);
@@ -345,11 +356,10 @@
 	struct search *e = searches_find(&fb->searches, &p->flow);
 
 	if (e == NULL) {
-		e = searches_begin(&fb->searches, p, &fb->agents, now);
+		e = searches_begin(&fb->searches, p, now);
 		ctr_inc(fb->ctr, CTR_SEARCHES);
 		search_hold(e, p);
-		ask(fb, e, now);
-		conclude(fb, e, now);
+		go_on(fb, e, now);
 		return;
 	}
 	if (!search_hold(e, p))
@@ -377,10 +387,12 @@
 		return;
 	}
 	search_answer(e, m->from, m->u.flow.where);
-	if (m->u.flow.where == FLOW_UNSURE && e->held_count > 0)
+	if (m->u.flow.where == FLOW_UNSURE && e->held_count > 0) {
+		ctr_inc(fb->ctr, CTR_SEARCH_PROBES);
 		forward(fb, v, (struct str){e->held[0]->bytes, e->held[0]->len},
 		    true);
-	conclude(fb, e, now);
+	}
+	go_on(fb, e, now);
 }
 
 static void
@@ -698,10 +710,7 @@
 
 	HASH_ITER(hh, fb->searches.table, e, next)
 	{
-		if (e->asked_count > 0 && e->rounds < SEARCH_ROUNDS &&
-		    passed(e->asked_ns, SEARCH_AGAIN_MS, now))
-			ask(fb, e, now);
-		conclude(fb, e, now);
+		go_on(fb, e, now);
 	}
 }
 
--- a/src/flow/place.c
+++ b/src/flow/place.c
@@ -76,38 +76,120 @@
 	return cost;
 }
 
-struct agent_view *
-place_choose(const struct place_ask *ask)
+/* Rank of an agent for a flow; the lowest ranks are its candidates. */
+static uint64_t
+rank_of(const struct agent_view *v, uint64_t flow)
 {
-	const struct agent_group *g = agents_group(ask->agents, ask->service);
-	struct agent_view *best = NULL;
-	struct agent_view *avoided = NULL;
-	uint64_t best_cost = 0;
-	uint64_t best_draw = 0;
-	uint64_t mean;
+	return XXH3_64bits_withSeed(&v->id, sizeof(v->id), flow);
+}
+
+size_t
+place_candidates(const struct agent_group *g, const char *domain, uint64_t flow,
+    struct agent_view *out[PLACE_CANDIDATES])
+{
+	uint64_t ranks[PLACE_CANDIDATES];
+	size_t count = 0;
 
-	if (g == NULL)
-		return NULL;
-	mean = mean_load(g, ask->now);
 	for (size_t i = 0; i < g->count; i++) {
 		struct agent_view *v = g->members[i];
-		uint64_t cost;
-		uint64_t draw;
+		uint64_t rank = rank_of(v, flow);
+		size_t at = count;
 
-		if (!takes_flows(v, ask->now) || tried(ask, v->id))
-			continue;
-		if (ask->now < v->avoid_until_ns) {
-			avoided = v;
+		if (strcmp(v->said.domain, domain) != 0 ||
+		    (count == PLACE_CANDIDATES && rank >= ranks[count - 1]))
 			continue;
+		if (count < PLACE_CANDIDATES)
+			count++;
+		else
+			at--;
+		for (; at > 0 && rank < ranks[at - 1]; at--) {
+			ranks[at] = ranks[at - 1];
+			out[at] = out[at - 1];
 		}
-		cost = place_cost(v, mean, ask->domain, ask->now);
-		draw = XXH3_64bits_withSeed(&v->id, sizeof(v->id), ask->salt);
-		if (best == NULL || cost < best_cost ||
-		    (cost == best_cost && draw < best_draw)) {
-			best = v;
-			best_cost = cost;
-			best_draw = draw;
-		}
+		ranks[at] = rank;
+		out[at] = v;
+	}
+	return count;
+}
+
+bool
+place_is_candidate(const struct agent_view *v, uint64_t flow)
+{
+	uint64_t rank = rank_of(v, flow);
+	size_t before = 0;
+
+	for (size_t i = 0; i < v->group->count; i++) {
+		const struct agent_view *o = v->group->members[i];
+
+		if (o != v && strcmp(o->said.domain, v->said.domain) == 0 &&
+		    rank_of(o, flow) < rank)
+			before++;
+	}
+	return before < PLACE_CANDIDATES;
+}
+
+/** A choice that is under way. */
+struct choice {
+	const struct place_ask *ask;
+	uint64_t mean;
+	struct agent_view *best;
+	uint64_t cost;
+	struct agent_view *avoided; /**< only if there is no other */
+};
+
+static void
+weigh(struct choice *c, struct agent_view *v)
+{
+	const struct place_ask *ask = c->ask;
+	uint64_t cost;
+
+	if (!takes_flows(v, ask->now) || tried(ask, v->id))
+		return;
+	if (ask->now < v->avoid_until_ns) {
+		c->avoided = v;
+		return;
 	}
-	return best != NULL ? best : avoided;
+	cost = place_cost(v, c->mean, ask->domain, ask->now);
+	if (c->best != NULL &&
+	    (cost > c->cost || (cost == c->cost && rank_of(v, ask->flow) >
+						       rank_of(c->best, ask->flow))))
+		return;
+	c->best = v;
+	c->cost = cost;
+}
+
+/* Weigh the candidates of each failure domain once. */
+static void
+weigh_candidates(struct choice *c, const struct agent_group *g)
+{
+	struct agent_view *few[PLACE_CANDIDATES];
+
+	for (size_t i = 0; i < g->count; i++) {
+		const char *domain = g->members[i]->said.domain;
+		size_t seen = 0;
+		size_t count;
+
+		while (strcmp(g->members[seen]->said.domain, domain) != 0)
+			seen++;
+		if (seen < i)
+			continue;
+		count = place_candidates(g, domain, c->ask->flow, few);
+		for (size_t k = 0; k < count; k++)
+			weigh(c, few[k]);
+	}
+}
+
+struct agent_view *
+place_choose(const struct place_ask *ask)
+{
+	const struct agent_group *g = agents_group(ask->agents, ask->service);
+	struct choice c = {.ask = ask};
+
+	if (g == NULL)
+		return NULL;
+	c.mean = mean_load(g, ask->now);
+	weigh_candidates(&c, g);
+	for (size_t i = 0; c.best == NULL && i < g->count; i++)
+		weigh(&c, g->members[i]);
+	return c.best != NULL ? c.best : c.avoided;
 }
--- a/src/flow/place.h
+++ b/src/flow/place.h
@@ -11,14 +11,21 @@
 /** Most agents that one opening is offered to. */
 #define PLACE_TRIES_MAX 4
 
+/**
+ * Agents of a service in each failure domain among which a flow is placed.
+ * They follow from the flow alone, so a balancer that has never heard of it
+ * looks for it among few; four choices balance almost as well as all.
+ */
+#define PLACE_CANDIDATES 4
+
 /** What a choice is made for. */
 struct place_ask {
 	const struct agents *agents;
 	uint32_t service;
+	uint64_t flow;	    /**< flow_hash() */
 	const char *domain; /**< the balancer's own failure domain */
 	const uint64_t *tried;
 	size_t tried_count;
-	uint64_t salt; /**< breaks ties between equals */
 	uint64_t now;
 };
 
@@ -29,6 +36,14 @@
  */
 uint64_t place_cost(const struct agent_view *v, uint64_t mean_milli,
     const char *domain, uint64_t now);
+/**
+ * The agents of one failure domain among which a flow is placed.
+ * @return how many there are in out
+ */
+size_t place_candidates(const struct agent_group *g, const char *domain,
+    uint64_t flow, struct agent_view *out[PLACE_CANDIDATES]);
+/** Whether an agent is one of those of its own failure domain. */
+bool place_is_candidate(const struct agent_view *v, uint64_t flow);
 /** The best agent that was not tried; NULL when none can take the flow. */
 struct agent_view *place_choose(const struct place_ask *ask);
 
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -35,29 +35,8 @@
 	free(e);
 }
 
-/*
- * The agents of every service are asked: a change of shares leaves flows at
- * services that their address no longer leads to.
- */
-static void
-collect(struct search *e, const struct agents *agents, uint64_t now)
-{
-	struct agent_view *v, *next;
-
-	e->complete = true;
-	e->asked = mem_new((HASH_COUNT(agents->table) + 1) * sizeof(*e->asked));
-	HASH_ITER(hh, agents->table, v, next)
-	{
-		if (agents_silent(v, now))
-			e->complete = false;
-		else
-			e->asked[e->asked_count++] = v->id;
-	}
-}
-
 struct search *
-searches_begin(struct searches *s, const struct flow_packet *p,
-    const struct agents *agents, uint64_t now)
+searches_begin(struct searches *s, const struct flow_packet *p, uint64_t now)
 {
 	struct search *e;
 
@@ -67,11 +46,96 @@
 	e->flow = p->flow;
 	e->ack = p->ack;
 	e->began_ns = now;
-	collect(e, agents, now);
+	e->complete = true;
 	HASH_ADD(hh, s->table, flow, sizeof(e->flow), e);
 	return e;
 }
 
+static bool
+was_asked(const struct search *e, uint64_t agent)
+{
+	for (size_t i = 0; i < e->asked_count; i++) {
+		if (e->asked[i].agent == agent)
+			return true;
+	}
+	return false;
+}
+
+static void
+add(struct search *e, const struct agent_view *v, uint64_t now)
+{
+	if (was_asked(e, v->id))
+		return;
+	if (agents_silent(v, now)) {
+		e->complete = false;
+		return;
+	}
+	e->asked =
+	    mem_grow(e->asked, e->asked_count + 1, sizeof(*e->asked));
+	e->asked[e->asked_count++] = (struct search_asked){.agent = v->id};
+	e->pending++;
+}
+
+/* Candidates of the flow, of each service that its address leads to. */
+static void
+add_candidates(struct search *e, const struct search_field *field, bool near,
+    uint64_t now)
+{
+	uint64_t flow = flow_hash(&e->flow);
+
+	for (size_t i = 0; field->route != NULL && i < field->route->count;
+	    i++) {
+		const struct agent_group *g = agents_group(
+		    field->agents, field->route->shares[i].service);
+
+		for (size_t k = 0; g != NULL && k < g->count; k++) {
+			const struct agent_view *v = g->members[k];
+			bool own = strcmp(v->said.domain, field->domain) == 0;
+
+			if (own == near && place_is_candidate(v, flow))
+				add(e, v, now);
+		}
+	}
+}
+
+/*
+ * The agents of every service are asked in the end: a change of shares leaves
+ * flows at services that their address no longer leads to.
+ */
+static void
+add_all(struct search *e, const struct search_field *field, uint64_t now)
+{
+	struct agent_view *v, *next;
+
+	HASH_ITER(hh, field->agents->table, v, next)
+	{
+		add(e, v, now);
+	}
+}
+
+void
+search_next(struct search *e, const struct search_field *field, uint64_t now,
+    size_t *first)
+{
+	*first = e->asked_count;
+	while (e->tier < SEARCH_TIERS && e->asked_count == *first) {
+		if (e->tier == SEARCH_ALL)
+			add_all(e, field, now);
+		else
+			add_candidates(e, field, e->tier == SEARCH_NEAR, now);
+		e->tier++;
+	}
+	e->asked_ns = now;
+}
+
+bool
+search_due(const struct search *e, uint64_t now)
+{
+	return e->tier < SEARCH_TIERS &&
+	       (e->pending == 0 ||
+		   now >= e->asked_ns + SEARCH_NEXT_MS * NS_PER_MS);
+}
+
 bool
 search_hold(struct search *e, const struct flow_packet *p)
 {
@@ -92,26 +156,23 @@
 search_answer(struct search *e, uint64_t agent, enum flow_where where)
 {
 	for (size_t i = 0; i < e->asked_count; i++) {
-		if (e->asked[i] != agent)
+		struct search_asked *a = &e->asked[i];
+
+		if (a->agent != agent)
 			continue;
-		e->asked[i] = e->asked[--e->asked_count];
-		if (where == FLOW_NOT_HERE)
-			e->denied++;
-		else
-			e->unsure++;
+		/* An unsure agent denies when its target returned the packet. */
+		if (where == FLOW_NOT_HERE && (!a->answered || a->unsure))
+			e->pending--;
+		a->answered = true;
+		a->unsure = where == FLOW_UNSURE;
 		return;
 	}
-	/* An unsure agent has tried the packet: its target returned it. */
-	if (where == FLOW_NOT_HERE && e->unsure > 0) {
-		e->unsure--;
-		e->denied++;
-	}
 }
 
 enum search_verdict
 search_verdict(const struct search *e, uint64_t now)
 {
-	if (e->asked_count == 0 && e->unsure == 0 && e->complete)
+	if (e->tier == SEARCH_TIERS && e->pending == 0 && e->complete)
 		return SEARCH_NOBODY;
 	if (now - e->began_ns > SEARCH_LIFE_MS * NS_PER_MS)
 		return SEARCH_UNKNOWN;
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -1,23 +1,32 @@
 /**
  * @file search.h
  * Finding the agent that holds a flow. The packets that came meanwhile are
- * held, and one small question goes to each agent, not the packets.
+ * held, and one small question goes to the agents, not the packets: first to
+ * those of the own failure domain among which the flow was placed, then to
+ * those of the others, then to all.
  */
 #ifndef PW_SEARCH_H
 #define PW_SEARCH_H
 
-#include "flow/agents.h"
+#include "flow/place.h"
+#include "flow/routes.h"
 
 /** Packets held for one flow. */
 #define SEARCH_HELD_MAX 8
-/** Agents are asked again after this, ms: two crossings there and back, and
- * the late wake-up of a small machine. */
-#define SEARCH_AGAIN_MS 60
-/** Times that the agents are asked. */
-#define SEARCH_ROUNDS 3
+/** The next agents are asked after this at the latest, ms: two crossings
+ * there and back, and the late wake-up of a small machine. */
+#define SEARCH_NEXT_MS 60
 /** A search ends after this, ms: the caller's next copy begins another. */
 #define SEARCH_LIFE_MS 400
 
+/** Whom a search asks, in this order. */
+enum search_tier {
+	SEARCH_NEAR, /**< candidates of the own failure domain */
+	SEARCH_FAR,  /**< candidates of the others */
+	SEARCH_ALL,  /**< all that were not asked yet, of any service */
+	SEARCH_TIERS
+};
+
 /** What became of a search. */
 enum search_verdict {
 	SEARCH_OPEN,	/**< goes on */
@@ -31,18 +40,24 @@
 	char bytes[FLOW_PACKET_MAX];
 };
 
+/** An agent that was asked. */
+struct search_asked {
+	uint64_t agent;
+	bool answered;
+	bool unsure; /**< it tries the packet at its target */
+};
+
 /** A search. */
 struct search {
 	struct flow_key flow;
 	uint32_t ack;
 	uint64_t began_ns;
-	uint64_t asked_ns;
-	unsigned rounds;
-	uint64_t *asked; /**< agents without an answer yet */
+	uint64_t asked_ns;	    /**< latest tier */
+	unsigned tier;		    /**< next to be asked */
+	struct search_asked *asked; /**< all so far */
 	size_t asked_count;
-	size_t denied;
-	size_t unsure;
-	bool complete; /**< no agent was silent when it began */
+	size_t pending; /**< of them without a denial */
+	bool complete;	/**< no agent was silent */
 	struct held_packet *held[SEARCH_HELD_MAX];
 	size_t held_count;
 	UT_hash_handle hh;
@@ -59,9 +74,24 @@
 /** Find one; NULL when there is none. */
 struct search *searches_find(
     const struct searches *s, const struct flow_key *flow);
-/** Begin a search among the agents; the oldest ends when there is no room. */
-struct search *searches_begin(struct searches *s, const struct flow_packet *p,
-    const struct agents *agents, uint64_t now);
+/** Begin a search; the oldest ends when there is no room. */
+struct search *searches_begin(
+    struct searches *s, const struct flow_packet *p, uint64_t now);
+/** Who may be asked, and who is asked first. */
+struct search_field {
+	const struct agents *agents;
+	const struct flow_route *route; /**< of the flow, may be NULL */
+	const char *domain;		/**< own failure domain */
+};
+
+/**
+ * Go on to the next tier that has agents.
+ * @param first index in e->asked from which on agents are to be asked now
+ */
+void search_next(struct search *e, const struct search_field *field,
+    uint64_t now, size_t *first);
+/** Whether the next tier is due. */
+bool search_due(const struct search *e, uint64_t now);
 /** Hold a packet of the flow; one too many is dropped. */
 bool search_hold(struct search *e, const struct flow_packet *p);
 /** Take in an agent's denial or doubt. */
