flow: dead flows are told from living ones; ports used again

A SYN with an old hint was lost when its agent refused it. Change: a state for a target not heard of yet; acknowledgements must fit the target's latest number in every state; copies of a SYN are told from a first one; a leaving agent whose target ended says so; balancers compare how many agents they hear before they conclude that a flow is gone.

--- a/src/codec/flow.pb-c.c
+++ b/src/codec/flow.pb-c.c
@@ -277,7 +277,7 @@
   assert(message->base.descriptor == &pwf__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pwf__agent__field_descriptors[11] =
+static const ProtobufCFieldDescriptor pwf__agent__field_descriptors[12] =
 {
   {
     "service",
@@ -411,6 +411,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "gone",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Agent, gone),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__agent__field_indices_by_name[] = {
   6,   /* field[6] = busy_milli */
@@ -418,6 +430,7 @@
   2,   /* field[2] = data_port */
   1,   /* field[1] = domain */
   8,   /* field[8] = flows */
+  11,   /* field[11] = gone */
   10,   /* field[10] = peers */
   9,   /* field[9] = period_ms */
   0,   /* field[0] = service */
@@ -428,7 +441,7 @@
 static const ProtobufCIntRange pwf__agent__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor pwf__agent__descriptor =
 {
@@ -438,14 +451,14 @@
   "Pwf__Agent",
   "pwf",
   sizeof(Pwf__Agent),
-  11,
+  12,
   pwf__agent__field_descriptors,
   pwf__agent__field_indices_by_name,
   1,  pwf__agent__number_ranges,
   (ProtobufCMessageInit) pwf__agent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[5] =
 {
   {
     "domain",
@@ -495,8 +508,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "agents",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Balancer, agents),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__balancer__field_indices_by_name[] = {
+  4,   /* field[4] = agents */
   0,   /* field[0] = domain */
   3,   /* field[3] = leaving */
   2,   /* field[2] = peers */
@@ -505,7 +531,7 @@
 static const ProtobufCIntRange pwf__balancer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pwf__balancer__descriptor =
 {
@@ -515,7 +541,7 @@
   "Pwf__Balancer",
   "pwf",
   sizeof(Pwf__Balancer),
-  4,
+  5,
   pwf__balancer__field_descriptors,
   pwf__balancer__field_indices_by_name,
   1,  pwf__balancer__number_ranges,
--- a/src/codec/flow.pb-c.h
+++ b/src/codec/flow.pb-c.h
@@ -42,10 +42,11 @@
   uint32_t flows;
   uint32_t period_ms;
   uint64_t peers;
+  protobuf_c_boolean gone;
 };
 #define PWF__AGENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__agent__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Pwf__Balancer
@@ -55,10 +56,11 @@
   uint64_t version;
   uint64_t peers;
   protobuf_c_boolean leaving;
+  uint32_t agents;
 };
 #define PWF__BALANCER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__balancer__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  Pwf__Peer
--- a/src/codec/flow_wire.c
+++ b/src/codec/flow_wire.c
@@ -24,6 +24,7 @@
 	out.flows = a->flows;
 	out.period_ms = a->period_ms;
 	out.peers = a->peers;
+	out.gone = a->gone;
 	return out;
 }
 
@@ -36,6 +37,7 @@
 	out.version = b->version;
 	out.peers = b->peers;
 	out.leaving = b->leaving;
+	out.agents = b->agents;
 	return out;
 }
 
@@ -163,6 +165,7 @@
 	out->flows = a->flows;
 	out->period_ms = a->period_ms;
 	out->peers = a->peers;
+	out->gone = a->gone;
 	return true;
 }
 
@@ -175,6 +178,7 @@
 	out->version = b->version;
 	out->peers = b->peers;
 	out->leaving = b->leaving;
+	out->agents = b->agents;
 	return true;
 }
 
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -14,6 +14,9 @@
 #define TELL_MAX_MS 3000
 /** Time over which load is smoothed, ms: some tens of requests. */
 #define SMOOTH_MS 1000
+/** A target returns a packet within a fraction of this, ms: once it has sent
+ * anything later than that, it holds the flow. */
+#define RETURN_MS 5
 /** Words that a target may have said before its agent heard one, when the
  * two started together. */
 #define FIRST_WORDS 3
@@ -36,6 +39,7 @@
 	fa->target.service = flow_service_tag(str_of(setup->service));
 	fa->target.address = setup->target;
 	fa->target.period_ms = setup->word_period_ms;
+	fa->target.began_ns = now;
 	fa->busy_ns = now;
 	fa->ticked_ns = now;
 	for (size_t i = 0; i < setup->seed_count; i++)
@@ -187,6 +191,14 @@
 	deliver(fa, f, p, via, now);
 }
 
+static void
+note_try(struct fa *fa, const struct flow_key *flow, uint64_t now)
+{
+	/* With no room left the target's own answer tells, later. */
+	if (fa->try_count < FA_TRIES_MAX)
+		fa->tries[fa->try_count++] = (struct fa_try){*flow, now};
+}
+
 /* A packet of a flow that is not in the table. */
 static void
 meet_unknown(
@@ -198,6 +210,7 @@
 		f = enter(fa, &p->flow, HELD_TRIED, now);
 		f->probed = p->probe;
 		deliver(fa, f, p, via, now);
+		note_try(fa, &p->flow, now);
 	} else if (p->probe) {
 		say_where(fa, via, &p->flow, FLOW_NOT_HERE);
 	} else {
@@ -224,9 +237,8 @@
 		meet_unknown(fa, via, p, now);
 		return;
 	}
-	/* Another target accepted a copy of the opening: it is not ours. */
-	if (f->state == HELD_OPENING ||
-	    (f->state == HELD_HALF && !table_fits(f, p->ack))) {
+	/* Another target accepted the opening: the flow is not ours. */
+	if (f->state == HELD_OPENING || !table_fits(f, p->ack)) {
 		if (p->probe)
 			say_where(fa, via, &p->flow, FLOW_NOT_HERE);
 		else
@@ -289,10 +301,9 @@
 	struct held_flow *f = table_find(&fa->flows, &p->flow);
 	struct msg_flow about = {.flow = p->flow};
 
-	if (f == NULL || f->state == HELD_OPENING)
+	if (f == NULL || f->state != HELD_OPEN || !table_fits(f, p->seq))
 		f = enter(fa, &p->flow, HELD_HALF, now);
-	if (f->state == HELD_HALF)
-		f->target_seq = p->seq;
+	table_numbered(f, p->seq);
 	f->used_ns = now;
 	send_flow(fa, f->via, FLOW_MSG_ACCEPTED, &about);
 	fa->out->answer(fa->ctx, p);
@@ -316,6 +327,33 @@
 	return f;
 }
 
+/*
+ * A target's packets come in order. One that comes well after a probe was
+ * given to it, with no return of the probe before it, shows that it holds the
+ * flow, long before it answers the request in the probe.
+ */
+static void
+settle_tries(struct fa *fa, uint64_t now)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < fa->try_count; i++) {
+		struct held_flow *f =
+		    table_find(&fa->flows, &fa->tries[i].flow);
+
+		if (f == NULL || f->state != HELD_TRIED)
+			continue;
+		if (!passed(fa->tries[i].given_ns, RETURN_MS, now)) {
+			fa->tries[kept++] = fa->tries[i];
+			continue;
+		}
+		say_where(fa, f->via, &f->flow, FLOW_HERE);
+		smooth(fa, now);
+		table_move(&fa->flows, f, HELD_OPEN, now);
+	}
+	fa->try_count = kept;
+}
+
 void
 fa_target(struct fa *fa, const struct flow_packet *p, uint64_t now)
 {
@@ -326,12 +364,15 @@
 		on_returned(fa, p, now);
 		return;
 	}
+	if (fa->try_count > 0)
+		settle_tries(fa, now);
 	ctr_inc(fa->ctr, CTR_CALLER_OUT);
 	if ((p->flags & FLOW_SYN) != 0) {
 		on_accepted(fa, p, now);
 		return;
 	}
 	f = learn(fa, p, now);
+	table_numbered(f, p->seq);
 	f->used_ns = now;
 	f->target_done |= (p->flags & FLOW_FIN) != 0;
 	if (p->data > 0) {
@@ -400,10 +441,8 @@
 	if (f == NULL || f->state == HELD_TRIED) {
 		if (!fa->knows_all && !target_ended(&fa->target, now))
 			where = FLOW_UNSURE;
-	} else if (f->state == HELD_HALF) {
-		where =
-		    table_fits(f, m->u.flow.ack) ? FLOW_HERE : FLOW_NOT_HERE;
-	} else if (f->state != HELD_OPENING) {
+	} else if (f->state != HELD_OPENING &&
+		   table_fits(f, m->u.flow.ack)) {
 		where = FLOW_HERE;
 	}
 	say_where(fa, m->from, &m->u.flow.flow, where);
@@ -427,6 +466,7 @@
 	a->flows = fa->flows.open;
 	a->period_ms = (uint32_t)period_ms(fa);
 	/* A digest that fits nobody brings a list, and fresh ages with it. */
+	a->gone = fa->leaving_ns != 0 && target_ended(&fa->target, now);
 	a->peers = ask ? 0 : peers_digest(&fa->peers);
 	send(fa, to, &m);
 }
@@ -580,6 +620,7 @@
 fa_leave(struct fa *fa, uint64_t now)
 {
 	fa->leaving_ns = now;
+	tell_all(fa, now);
 	tick_state(fa, now);
 }
 
@@ -588,6 +629,7 @@
 {
 	if (fa->leaving_ns == 0)
 		return false;
+	/* The last heartbeats, which say so, have left by the next tick. */
 	return fa->flows.waiting == 0 || target_ended(&fa->target, now) ||
 	       passed(fa->leaving_ns, LEAVE_MS, now);
 }
--- a/src/flow/agent.h
+++ b/src/flow/agent.h
@@ -24,6 +24,15 @@
 	void (*send)(void *ctx, uint64_t to, const struct flow_msg *m);
 };
 
+/** Most probes whose outcome an agent waits for. */
+#define FA_TRIES_MAX 64
+
+/** A packet given to the target to find out whether it holds the flow. */
+struct fa_try {
+	struct flow_key flow;
+	uint64_t given_ns;
+};
+
 /** What an agent is started with. */
 struct fa_setup {
 	uint64_t id; /**< addr_pack() of its control address */
@@ -48,6 +57,8 @@
 	struct flow_table flows;
 	struct target target;
 	struct peers peers;
+	struct fa_try tries[FA_TRIES_MAX];
+	size_t try_count;
 	/** Whether it has seen all of its target's life. */
 	bool knows_all;
 	uint64_t sequence;
--- a/src/flow/agents.c
+++ b/src/flow/agents.c
@@ -121,6 +121,15 @@
 	return v;
 }
 
+void
+agents_forget(struct agents *a, uint64_t id)
+{
+	struct agent_view *v = agents_find(a, id);
+
+	if (v != NULL)
+		forget(a, v);
+}
+
 void
 agents_load(struct agents *a, const struct flow_msg *m)
 {
@@ -168,3 +177,22 @@
 	}
 	return live;
 }
+
+bool
+agents_awaited(const struct agent_view *v, uint64_t now)
+{
+	return now < v->heard_ns + AGENT_RETURN_MS * NS_PER_MS;
+}
+
+size_t
+agents_recent(const struct agents *a, uint64_t now)
+{
+	size_t recent = 0;
+	struct agent_view *v, *next;
+
+	HASH_ITER(hh, a->table, v, next)
+	{
+		recent += agents_awaited(v, now) ? 1 : 0;
+	}
+	return recent;
+}
--- a/src/flow/agents.h
+++ b/src/flow/agents.h
@@ -15,6 +15,9 @@
 /** Allowance for a late heartbeat, ms: a process with a small share of a
  * core may be held up for as long. */
 #define AGENT_LATE_MS 400
+/** An agent not heard for this may still come back to a target that lives,
+ * ms: a planned stop and start takes less. After it nobody waits for it. */
+#define AGENT_RETURN_MS 4000
 /** A silent agent is forgotten after this, ms: longer than a planned restart
  * and than the cuts that are seen. */
 #define AGENT_FORGET_MS 15000
@@ -61,6 +64,8 @@
  */
 struct agent_view *agents_heard(
     struct agents *a, const struct flow_msg *m, uint64_t now);
+/** An agent said that it ends together with its target. */
+void agents_forget(struct agents *a, uint64_t id);
 /** Take in the load that came with word on one flow. */
 void agents_load(struct agents *a, const struct flow_msg *m);
 /** Whether an agent has missed its heartbeats. */
@@ -69,5 +74,9 @@
 void agents_expire(struct agents *a, uint64_t now);
 /** Agents that are not silent. */
 size_t agents_live(const struct agents *a, uint64_t now);
+/** Whether a silent agent is still waited for, AGENT_RETURN_MS. */
+bool agents_awaited(const struct agent_view *v, uint64_t now);
+/** Agents that are not silent, or waited for. */
+size_t agents_recent(const struct agents *a, uint64_t now);
 
 #endif
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -20,9 +20,9 @@
 #define AVOID_MS 1000
 /** Agents have all had time for a heartbeat after this, ms. */
 #define WARM_MS 900
-/** A balancer that runs for less does not conclude that a flow is gone, ms:
- * an agent that restarts meanwhile may not be known to it yet. */
-#define CERTAIN_MS 5000
+/** A balancer that has no other to compare itself with concludes that a flow
+ * is gone only after this, ms: longer than an agent takes to restart. */
+#define ALONE_MS 5000
 /** A longer gap between ticks means that this process stood still, ms. */
 #define GAP_MS 500
 /** After it, silence of others proves nothing for this, ms. */
@@ -76,12 +76,35 @@
 	       passed(fb->first_agent_ns, WARM_MS, now);
 }
 
-/* Whether a flow that no agent claims is gone for certain. */
+static bool
+heard_lately(const struct peer *e, uint64_t now)
+{
+	return e->direct_ns != 0 && !passed(e->direct_ns, WATCHER_LOST_MS, now);
+}
+
+/*
+ * Whether a flow that no agent claims is gone for certain: none must be
+ * missing here that restarts just now and that another balancer still waits
+ * for.
+ */
 static bool
 certain(const struct fb *fb, uint64_t now)
 {
-	return passed(fb->began_ns, CERTAIN_MS, now) && now >= fb->trusted_ns &&
-	       agents_live(&fb->agents, now) > 0;
+	size_t known = agents_recent(&fb->agents, now);
+	size_t compared = 0;
+	struct peer *e, *next;
+
+	if (!warm(fb, now) || now < fb->trusted_ns || known == 0)
+		return false;
+	HASH_ITER(hh, fb->peers.table, e, next)
+	{
+		if (!heard_lately(e, now))
+			continue;
+		if (e->agents > known)
+			return false;
+		compared++;
+	}
+	return compared > 0 || passed(fb->began_ns, ALONE_MS, now);
 }
 
 bool
@@ -119,7 +142,7 @@
 }
 
 static void
-greet(struct fb *fb, uint64_t to)
+greet(struct fb *fb, uint64_t to, uint64_t now)
 {
 	struct flow_msg m = {.kind = FLOW_MSG_BALANCER};
 
@@ -127,6 +150,7 @@
 	    str_of(fb->setup.domain));
 	m.u.balancer.version = fb->routes.version;
 	m.u.balancer.peers = peers_digest(&fb->peers);
+	m.u.balancer.agents = (uint32_t)agents_recent(&fb->agents, now);
 	m.u.balancer.leaving = fb->leaving;
 	send(fb, to, &m);
 }
@@ -468,12 +492,18 @@
 {
 	struct agent_view *before = agents_find(&fb->agents, m->from);
 	enum target_state was =
-	    before == NULL ? TARGET_ABSENT : before->said.state;
+	    before == NULL ? TARGET_UNKNOWN : before->said.state;
 	struct agent_view *v = agents_heard(&fb->agents, m, now);
 	char agent[ADDR_TEXT_MAX];
 
 	if (v == NULL)
 		return;
+	if (m->u.agent.gone) {
+		event("agent_gone", "s:s", "agent",
+		    addr_text(addr_unpack(m->from), agent));
+		agents_forget(&fb->agents, m->from);
+		return;
+	}
 	if (fb->first_agent_ns == 0)
 		fb->first_agent_ns = now;
 	if (v->said.state != was)
@@ -494,7 +524,7 @@
 		event("balancer", "s:s, s:s", "balancer",
 		    addr_text(addr_unpack(m->from), peer), "domain",
 		    m->u.balancer.domain);
-		greet(fb, m->from);
+		greet(fb, m->from, now);
 	}
 	if (m->u.balancer.peers != peers_digest(&fb->peers))
 		send_list(fb, m->from, now);
@@ -509,7 +539,7 @@
 		if (age > now || age > PEER_FORGET_MS * NS_PER_MS)
 			continue;
 		if (peers_note(&fb->peers, list->peers[i].id, now - age))
-			greet(fb, list->peers[i].id);
+			greet(fb, list->peers[i].id, now);
 	}
 }
 
@@ -547,7 +577,7 @@
 /* ---- configuration ---- */
 
 static void
-tell_peers(struct fb *fb)
+tell_peers(struct fb *fb, uint64_t now)
 {
 	size_t known = peers_count(&fb->peers);
 	size_t step = known / TELL_MAX + 1;
@@ -557,14 +587,13 @@
 	HASH_ITER(hh, fb->peers.table, e, next)
 	{
 		if (at++ % step == 0)
-			greet(fb, e->id);
+			greet(fb, e->id, now);
 	}
 }
 
 bool
 fb_routes(struct fb *fb, struct routes *next, uint64_t now)
 {
-	(void)now;
 	if (next->version <= fb->routes.version) {
 		ctr_inc(fb->ctr, CTR_CONFIG_STALE);
 		routes_clear(next);
@@ -577,16 +606,10 @@
 	fb->routes = *next;
 	*next = (struct routes){0};
 	ctr_inc(fb->ctr, CTR_CONFIG_APPLIED);
-	tell_peers(fb);
+	tell_peers(fb, now);
 	return true;
 }
 
-static bool
-heard_lately(const struct peer *e, uint64_t now)
-{
-	return e->direct_ns != 0 && !passed(e->direct_ns, WATCHER_LOST_MS, now);
-}
-
 bool
 fb_watches(const struct fb *fb, uint64_t now)
 {
@@ -624,11 +647,10 @@
 void
 fb_meet(struct fb *fb, uint64_t id, uint64_t now)
 {
-	(void)now;
 	/* An entry may be of a dead balancer: only its answer makes it known.
 	 */
 	if (id != fb->setup.id && peers_find(&fb->peers, id) == NULL)
-		greet(fb, id);
+		greet(fb, id, now);
 }
 
 bool
@@ -655,17 +677,17 @@
 /* ---- time ---- */
 
 static void
-greet_seeds(struct fb *fb)
+greet_seeds(struct fb *fb, uint64_t now)
 {
 	for (size_t i = 0; i < fb->setup.seed_count; i++) {
 		if (fb->setup.seeds[i] != fb->setup.id &&
 		    peers_find(&fb->peers, fb->setup.seeds[i]) == NULL)
-			greet(fb, fb->setup.seeds[i]);
+			greet(fb, fb->setup.seeds[i], now);
 	}
 }
 
 static void
-greet_near(struct fb *fb)
+greet_near(struct fb *fb, uint64_t now)
 {
 	struct peer *e, *next;
 
@@ -673,12 +695,12 @@
 	{
 		if (e->direct_ns == 0 ||
 		    strcmp(e->domain, fb->setup.domain) == 0)
-			greet(fb, e->id);
+			greet(fb, e->id, now);
 	}
 }
 
 static void
-greet_far(struct fb *fb)
+greet_far(struct fb *fb, uint64_t now)
 {
 	uint64_t known = peers_count(&fb->peers);
 	struct peer *e, *next;
@@ -686,7 +708,7 @@
 	HASH_ITER(hh, fb->peers.table, e, next)
 	{
 		if (rng_below(&fb->rng, known) < GREET_FAR_COUNT)
-			greet(fb, e->id);
+			greet(fb, e->id, now);
 	}
 }
 
@@ -732,21 +754,20 @@
 	tick_searches(fb, now);
 	if (passed(fb->greeted_ns, GREET_MS, now)) {
 		fb->greeted_ns = now;
-		greet_seeds(fb);
-		greet_near(fb);
+		greet_seeds(fb, now);
+		greet_near(fb, now);
 		peers_expire(&fb->peers, now);
 		agents_expire(&fb->agents, now);
 	}
 	if (passed(fb->greeted_far_ns, GREET_FAR_MS, now)) {
 		fb->greeted_far_ns = now;
-		greet_far(fb);
+		greet_far(fb, now);
 	}
 }
 
 void
 fb_leave(struct fb *fb, uint64_t now)
 {
-	(void)now;
 	fb->leaving = true;
-	tell_peers(fb);
+	tell_peers(fb, now);
 }
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -27,7 +27,8 @@
 
 /** Whether an agent's target takes new flows. */
 enum target_state {
-	TARGET_ABSENT,	/**< nothing heard of it yet, or it is gone */
+	TARGET_UNKNOWN, /**< the agent is young and has not heard of it yet */
+	TARGET_ABSENT,	/**< there is none, or it is gone */
 	TARGET_READY,	/**< takes new flows */
 	TARGET_LEAVING, /**< finishes the flows it has */
 	TARGET_SILENT,	/**< gave no sign when it should have */
@@ -46,7 +47,8 @@
 	uint32_t waiting;    /**< requests held now */
 	uint32_t flows;	     /**< open flows */
 	uint32_t period_ms;  /**< until the next heartbeat */
-	uint64_t peers;	     /**< digest of the balancers it knows */
+	uint64_t peers;		   /**< digest of the balancers it knows */
+	bool gone;		   /**< it ends, and its target has ended */
 };
 
 /** A balancer's heartbeat. */
@@ -54,6 +56,7 @@
 	char domain[FLOW_NAME_MAX];
 	uint64_t version; /**< configuration in force there */
 	uint64_t peers;	  /**< digest of the balancers it knows */
+	uint32_t agents;  /**< agents that it has heard lately */
 	bool leaving;
 };
 
--- a/src/flow/packet.h
+++ b/src/flow/packet.h
@@ -28,6 +28,7 @@
 	unsigned flags; /**< enum flow_flag */
 	uint32_t tag;	/**< service meant by the balancer; 0 for none */
 	bool probe;	/**< sent to find out who holds the flow */
+	unsigned copy;	/**< of an opening packet: 0 for the first */
 	size_t data;	/**< bytes of the flow's data in it */
 	struct str bytes;
 };
--- a/src/flow/peers.c
+++ b/src/flow/peers.c
@@ -58,6 +58,7 @@
 	e->direct_ns = now;
 	e->version = b->version;
 	e->leaving = b->leaving;
+	e->agents = b->agents;
 	str_copy(e->domain, sizeof(e->domain), str_of(b->domain));
 	return is_new;
 }
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -64,10 +64,10 @@
 static void
 add(struct search *e, const struct agent_view *v, uint64_t now)
 {
-	if (was_asked(e, v->id))
+	if (v->said.state == TARGET_ABSENT || was_asked(e, v->id))
 		return;
 	if (agents_silent(v, now)) {
-		e->complete = false;
+		e->complete &= !agents_awaited(v, now);
 		return;
 	}
 	e->asked =
@@ -131,9 +131,11 @@
 bool
 search_due(const struct search *e, uint64_t now)
 {
+	uint64_t wait_ms =
+	    e->trying == e->pending ? SEARCH_TRY_MS : SEARCH_NEXT_MS;
+
 	return e->tier < SEARCH_TIERS &&
-	       (e->pending == 0 ||
-		   now >= e->asked_ns + SEARCH_NEXT_MS * NS_PER_MS);
+	       (e->pending == 0 || now >= e->asked_ns + wait_ms * NS_PER_MS);
 }
 
 bool
@@ -163,6 +165,8 @@
 		/* An unsure agent denies when its target returned the packet. */
 		if (where == FLOW_NOT_HERE && (!a->answered || a->unsure))
 			e->pending--;
+		e->trying -= a->unsure ? 1 : 0;
+		e->trying += where == FLOW_UNSURE ? 1 : 0;
 		a->answered = true;
 		a->unsure = where == FLOW_UNSURE;
 		return;
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -16,6 +16,9 @@
 /** The next agents are asked after this at the latest, ms: two crossings
  * there and back, and the late wake-up of a small machine. */
 #define SEARCH_NEXT_MS 60
+/** While agents only try the packet at their targets, the next ones wait for
+ * longer, ms: a target that holds the flow shows it within some tens. */
+#define SEARCH_TRY_MS 150
 /** A search ends after this, ms: the caller's next copy begins another. */
 #define SEARCH_LIFE_MS 400
 
@@ -57,7 +60,8 @@
 	struct search_asked *asked; /**< all so far */
 	size_t asked_count;
 	size_t pending; /**< of them without a denial */
-	bool complete;	/**< no agent was silent */
+	size_t trying;	/**< of those, they try the packet */
+	bool complete;	/**< none is missing that may come back */
 	struct held_packet *held[SEARCH_HELD_MAX];
 	size_t held_count;
 	UT_hash_handle hh;
--- a/src/flow/table.c
+++ b/src/flow/table.c
@@ -11,8 +11,8 @@
 #define CLOSED_MS 8000
 /** A caller that never answered the target's acceptance, ms. */
 #define HALF_MS 5000
-/** How far an acknowledgement may be beyond the target's first number when
- * the flow is half open: it is one or a few packets' data. */
+/** How far an acknowledgement may be from the target's latest number: some
+ * times what a target has on its way; numbers of two flows hardly ever meet. */
 #define FIT_BYTES (1U << 20)
 
 struct held_flow *
@@ -131,8 +131,16 @@
 	}
 }
 
+void
+table_numbered(struct held_flow *f, uint32_t seq)
+{
+	f->target_seq = seq;
+	f->target_known = true;
+}
+
 bool
 table_fits(const struct held_flow *f, uint32_t ack)
 {
-	return ack - f->target_seq < FIT_BYTES;
+	return !f->target_known ||
+	       ack - f->target_seq + FIT_BYTES < 2 * FIT_BYTES;
 }
--- a/src/flow/table.h
+++ b/src/flow/table.h
@@ -28,7 +28,8 @@
 	uint64_t began_ns;   /**< in this state */
 	uint64_t used_ns;    /**< latest packet either way */
 	uint64_t asked_ns;   /**< request given to the target, 0 for none */
-	uint32_t target_seq; /**< the target's first number */
+	uint32_t target_seq;  /**< the target's latest number */
+	bool target_known;    /**< whether one was seen */
 	uint32_t caller_ack; /**< the caller's latest */
 	bool caller_done;    /**< its FIN was seen */
 	bool target_done;
@@ -66,7 +67,12 @@
 void table_clear(struct flow_table *t);
 /** Forget what was not used for long, by its state. */
 void table_expire(struct flow_table *t, uint64_t idle_ms, uint64_t now);
-/** Whether a caller's acknowledgement fits what this target said. */
+/** Note a number that the target sent. */
+void table_numbered(struct held_flow *f, uint32_t seq);
+/**
+ * Whether a caller's acknowledgement fits what this target said. Callers use
+ * a port again, and may have been accepted by two targets at once.
+ */
 bool table_fits(const struct held_flow *f, uint32_t ack);
 
 #endif
--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -85,7 +85,10 @@
 enum target_state
 target_state_at(const struct target *t, uint64_t now)
 {
-	if (t->word.id == 0 || t->gone_ns != 0)
+	if (t->word.id == 0)
+		return now > t->began_ns + silence_ns(t) ? TARGET_ABSENT
+							 : TARGET_UNKNOWN;
+	if (t->gone_ns != 0)
 		return TARGET_ABSENT;
 	if (t->word.state == TARGET_LEAVING)
 		return TARGET_LEAVING;
@@ -99,5 +102,8 @@
 bool
 target_ended(const struct target *t, uint64_t now)
 {
+	if (t->word.id == 0)
+		return target_state_at(t, now) == TARGET_ABSENT &&
+		       t->heard_ns == 0;
 	return t->gone_ns != 0 && now > t->gone_ns + ENDING_MS * NS_PER_MS;
 }
--- a/src/flow/target.h
+++ b/src/flow/target.h
@@ -39,6 +39,7 @@
 	uint64_t word_ns;	 /**< when it came */
 	uint64_t cold_until_ns;
 	uint64_t heard_ns; /**< latest packet from it */
+	uint64_t began_ns;	  /**< when its agent began to listen */
 	uint64_t gone_ns;  /**< when its end was told, or 0 */
 	bool suspected;	   /**< an opening got no answer in time */
 };
@@ -52,7 +53,7 @@
 void target_suspect(struct target *t, uint64_t given_ns);
 /** What to tell the balancers. */
 enum target_state target_state_at(const struct target *t, uint64_t now);
-/** Whether it told its end so long ago that its flows are gone. */
+/** Whether there is none for certain, so that its flows are gone. */
 bool target_ended(const struct target *t, uint64_t now);
 
 #endif
