agent: a target that nothing listens for is known as gone

Cause: after a restart of everything an agent without a target said 'unsure' for 3.6 s, so each dead flow was tried everywhere and callers waited for their deadlines; a target's crash showed only by missed heartbeats. Change: the agent tries a connection when it has not heard of its target, when an opening got no answer, or when requests wait and nothing comes; refused means gone: its flows are reset and balancers told. Questions on flows travel together while a balancer is busy.

--- a/src/codec/flow.pb-c.c
+++ b/src/codec/flow.pb-c.c
@@ -232,6 +232,96 @@
   assert(message->base.descriptor == &pwf__flow__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pwf__found__init
+                     (Pwf__Found         *message)
+{
+  static const Pwf__Found init_value = PWF__FOUND__INIT;
+  *message = init_value;
+}
+size_t pwf__found__get_packed_size
+                     (const Pwf__Found *message)
+{
+  assert(message->base.descriptor == &pwf__found__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pwf__found__pack
+                     (const Pwf__Found *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pwf__found__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pwf__found__pack_to_buffer
+                     (const Pwf__Found *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pwf__found__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pwf__Found *
+       pwf__found__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pwf__Found *)
+     protobuf_c_message_unpack (&pwf__found__descriptor,
+                                allocator, len, data);
+}
+void   pwf__found__free_unpacked
+                     (Pwf__Found *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pwf__found__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pwf__find__init
+                     (Pwf__Find         *message)
+{
+  static const Pwf__Find init_value = PWF__FIND__INIT;
+  *message = init_value;
+}
+size_t pwf__find__get_packed_size
+                     (const Pwf__Find *message)
+{
+  assert(message->base.descriptor == &pwf__find__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pwf__find__pack
+                     (const Pwf__Find *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pwf__find__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pwf__find__pack_to_buffer
+                     (const Pwf__Find *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pwf__find__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pwf__Find *
+       pwf__find__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pwf__Find *)
+     protobuf_c_message_unpack (&pwf__find__descriptor,
+                                allocator, len, data);
+}
+void   pwf__find__free_unpacked
+                     (Pwf__Find *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pwf__find__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pwf__envelope__init
                      (Pwf__Envelope         *message)
 {
@@ -637,7 +727,7 @@
   (ProtobufCMessageInit) pwf__peers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__flow__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pwf__flow__field_descriptors[7] =
 {
   {
     "caller",
@@ -675,18 +765,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "where",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Pwf__Flow, where),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "refusal",
     5,
@@ -738,18 +816,18 @@
 };
 static const unsigned pwf__flow__field_indices_by_name[] = {
   2,   /* field[2] = ack */
-  5,   /* field[5] = busy_milli */
+  4,   /* field[4] = busy_milli */
   0,   /* field[0] = caller */
-  6,   /* field[6] = flows */
-  7,   /* field[7] = packet */
-  4,   /* field[4] = refusal */
+  5,   /* field[5] = flows */
+  6,   /* field[6] = packet */
+  3,   /* field[3] = refusal */
   1,   /* field[1] = service */
-  3,   /* field[3] = where */
 };
-static const ProtobufCIntRange pwf__flow__number_ranges[1 + 1] =
+static const ProtobufCIntRange pwf__flow__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 5, 3 },
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor pwf__flow__descriptor =
 {
@@ -759,14 +837,129 @@
   "Pwf__Flow",
   "pwf",
   sizeof(Pwf__Flow),
-  8,
+  7,
   pwf__flow__field_descriptors,
   pwf__flow__field_indices_by_name,
-  1,  pwf__flow__number_ranges,
+  2,  pwf__flow__number_ranges,
   (ProtobufCMessageInit) pwf__flow__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__envelope__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pwf__found__field_descriptors[4] =
+{
+  {
+    "caller",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Found, caller),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Found, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ack",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Found, ack),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "where",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Found, where),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pwf__found__field_indices_by_name[] = {
+  2,   /* field[2] = ack */
+  0,   /* field[0] = caller */
+  1,   /* field[1] = service */
+  3,   /* field[3] = where */
+};
+static const ProtobufCIntRange pwf__found__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pwf__found__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pwf.Found",
+  "Found",
+  "Pwf__Found",
+  "pwf",
+  sizeof(Pwf__Found),
+  4,
+  pwf__found__field_descriptors,
+  pwf__found__field_indices_by_name,
+  1,  pwf__found__number_ranges,
+  (ProtobufCMessageInit) pwf__found__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pwf__find__field_descriptors[1] =
+{
+  {
+    "flows",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pwf__Find, n_flows),
+    offsetof(Pwf__Find, flows),
+    &pwf__found__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pwf__find__field_indices_by_name[] = {
+  0,   /* field[0] = flows */
+};
+static const ProtobufCIntRange pwf__find__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor pwf__find__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pwf.Find",
+  "Find",
+  "Pwf__Find",
+  "pwf",
+  sizeof(Pwf__Find),
+  1,
+  pwf__find__field_descriptors,
+  pwf__find__field_indices_by_name,
+  1,  pwf__find__number_ranges,
+  (ProtobufCMessageInit) pwf__find__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pwf__envelope__field_descriptors[9] =
 {
   {
     "kind",
@@ -864,10 +1057,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "find",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pwf__Envelope, body_case),
+    offsetof(Pwf__Envelope, find),
+    &pwf__find__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__envelope__field_indices_by_name[] = {
   4,   /* field[4] = agent */
   5,   /* field[5] = balancer */
+  8,   /* field[8] = find */
   7,   /* field[7] = flow */
   1,   /* field[1] = from */
   2,   /* field[2] = incarnation */
@@ -878,7 +1084,7 @@
 static const ProtobufCIntRange pwf__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pwf__envelope__descriptor =
 {
@@ -888,7 +1094,7 @@
   "Pwf__Envelope",
   "pwf",
   sizeof(Pwf__Envelope),
-  8,
+  9,
   pwf__envelope__field_descriptors,
   pwf__envelope__field_indices_by_name,
   1,  pwf__envelope__number_ranges,
--- a/src/codec/flow.pb-c.h
+++ b/src/codec/flow.pb-c.h
@@ -20,6 +20,8 @@
 typedef struct Pwf__Peer Pwf__Peer;
 typedef struct Pwf__Peers Pwf__Peers;
 typedef struct Pwf__Flow Pwf__Flow;
+typedef struct Pwf__Found Pwf__Found;
+typedef struct Pwf__Find Pwf__Find;
 typedef struct Pwf__Envelope Pwf__Envelope;
 
 
@@ -91,7 +93,6 @@
   uint64_t caller;
   uint64_t service;
   uint32_t ack;
-  uint32_t where;
   uint32_t refusal;
   uint32_t busy_milli;
   uint32_t flows;
@@ -99,7 +100,31 @@
 };
 #define PWF__FLOW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__flow__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, 0, 0, 0, {0,NULL} }
+
+
+struct  Pwf__Found
+{
+  ProtobufCMessage base;
+  uint64_t caller;
+  uint64_t service;
+  uint32_t ack;
+  uint32_t where;
+};
+#define PWF__FOUND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pwf__found__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+struct  Pwf__Find
+{
+  ProtobufCMessage base;
+  size_t n_flows;
+  Pwf__Found **flows;
+};
+#define PWF__FIND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pwf__find__descriptor) \
+    , 0,NULL }
 
 
 typedef enum {
@@ -107,7 +132,8 @@
   PWF__ENVELOPE__BODY_AGENT = 5,
   PWF__ENVELOPE__BODY_BALANCER = 6,
   PWF__ENVELOPE__BODY_PEERS = 7,
-  PWF__ENVELOPE__BODY_FLOW = 8
+  PWF__ENVELOPE__BODY_FLOW = 8,
+  PWF__ENVELOPE__BODY_FIND = 9
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(PWF__ENVELOPE__BODY__CASE)
 } Pwf__Envelope__BodyCase;
 
@@ -124,6 +150,7 @@
     Pwf__Balancer *balancer;
     Pwf__Peers *peers;
     Pwf__Flow *flow;
+    Pwf__Find *find;
   };
 };
 #define PWF__ENVELOPE__INIT \
@@ -226,6 +253,44 @@
 void   pwf__flow__free_unpacked
                      (Pwf__Flow *message,
                       ProtobufCAllocator *allocator);
+/* Pwf__Found methods */
+void   pwf__found__init
+                     (Pwf__Found         *message);
+size_t pwf__found__get_packed_size
+                     (const Pwf__Found   *message);
+size_t pwf__found__pack
+                     (const Pwf__Found   *message,
+                      uint8_t             *out);
+size_t pwf__found__pack_to_buffer
+                     (const Pwf__Found   *message,
+                      ProtobufCBuffer     *buffer);
+Pwf__Found *
+       pwf__found__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pwf__found__free_unpacked
+                     (Pwf__Found *message,
+                      ProtobufCAllocator *allocator);
+/* Pwf__Find methods */
+void   pwf__find__init
+                     (Pwf__Find         *message);
+size_t pwf__find__get_packed_size
+                     (const Pwf__Find   *message);
+size_t pwf__find__pack
+                     (const Pwf__Find   *message,
+                      uint8_t             *out);
+size_t pwf__find__pack_to_buffer
+                     (const Pwf__Find   *message,
+                      ProtobufCBuffer     *buffer);
+Pwf__Find *
+       pwf__find__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pwf__find__free_unpacked
+                     (Pwf__Find *message,
+                      ProtobufCAllocator *allocator);
 /* Pwf__Envelope methods */
 void   pwf__envelope__init
                      (Pwf__Envelope         *message);
@@ -262,6 +327,12 @@
 typedef void (*Pwf__Flow_Closure)
                  (const Pwf__Flow *message,
                   void *closure_data);
+typedef void (*Pwf__Found_Closure)
+                 (const Pwf__Found *message,
+                  void *closure_data);
+typedef void (*Pwf__Find_Closure)
+                 (const Pwf__Find *message,
+                  void *closure_data);
 typedef void (*Pwf__Envelope_Closure)
                  (const Pwf__Envelope *message,
                   void *closure_data);
@@ -276,6 +347,8 @@
 extern const ProtobufCMessageDescriptor pwf__peer__descriptor;
 extern const ProtobufCMessageDescriptor pwf__peers__descriptor;
 extern const ProtobufCMessageDescriptor pwf__flow__descriptor;
+extern const ProtobufCMessageDescriptor pwf__found__descriptor;
+extern const ProtobufCMessageDescriptor pwf__find__descriptor;
 extern const ProtobufCMessageDescriptor pwf__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/codec/flow_wire.c
+++ b/src/codec/flow_wire.c
@@ -49,7 +49,6 @@
 	out.caller = f->flow.caller;
 	out.service = f->flow.service;
 	out.ack = f->ack;
-	out.where = f->where;
 	out.refusal = f->refusal;
 	out.busy_milli = f->busy_milli;
 	out.flows = f->flows;
@@ -90,6 +89,29 @@
 	return pack(env, buf, cap);
 }
 
+static size_t
+encode_find(
+    Pwf__Envelope *env, const struct msg_find *list, uint8_t *buf, size_t cap)
+{
+	Pwf__Find find = PWF__FIND__INIT;
+	Pwf__Found items[FLOW_FIND_MAX];
+	Pwf__Found *refs[FLOW_FIND_MAX];
+
+	for (uint32_t i = 0; i < list->count; i++) {
+		pwf__found__init(&items[i]);
+		items[i].caller = list->flows[i].flow.caller;
+		items[i].service = list->flows[i].flow.service;
+		items[i].ack = list->flows[i].ack;
+		items[i].where = list->flows[i].where;
+		refs[i] = &items[i];
+	}
+	find.n_flows = list->count;
+	find.flows = refs;
+	env->body_case = PWF__ENVELOPE__BODY_FIND;
+	env->find = &find;
+	return pack(env, buf, cap);
+}
+
 size_t
 flow_wire_encode(const struct flow_msg *m, uint8_t *buf, size_t cap)
 {
@@ -117,6 +139,7 @@
 		return encode_peers(&env, &m->u.peers, buf, cap);
 	case FLOW_MSG_FIND:
 	case FLOW_MSG_FOUND:
+		return encode_find(&env, &m->u.find, buf, cap);
 	case FLOW_MSG_ACCEPTED:
 	case FLOW_MSG_REFUSED:
 	case FLOW_MSG_AWAY:
@@ -194,15 +217,32 @@
 	return true;
 }
 
+static bool
+take_find(const Pwf__Find *list, struct msg_find *out)
+{
+	if (list == NULL || list->n_flows > FLOW_FIND_MAX)
+		return false;
+	out->count = (uint32_t)list->n_flows;
+	for (size_t i = 0; i < list->n_flows; i++) {
+		const Pwf__Found *f = list->flows[i];
+
+		if (f->where > FLOW_UNSURE)
+			return false;
+		out->flows[i].flow = (struct flow_key){f->caller, f->service};
+		out->flows[i].ack = f->ack;
+		out->flows[i].where = (enum flow_where)f->where;
+	}
+	return true;
+}
+
 static bool
 take_flow(const Pwf__Flow *f, struct msg_flow *out)
 {
-	if (f == NULL || f->where > FLOW_UNSURE ||
-	    f->refusal > FLOW_REFUSED_SILENT || f->packet.len > FLOW_PACKET_MAX)
+	if (f == NULL || f->refusal > FLOW_REFUSED_SILENT ||
+	    f->packet.len > FLOW_PACKET_MAX)
 		return false;
 	out->flow = (struct flow_key){f->caller, f->service};
 	out->ack = f->ack;
-	out->where = (enum flow_where)f->where;
 	out->refusal = (enum flow_refusal)f->refusal;
 	out->busy_milli = f->busy_milli;
 	out->flows = f->flows;
@@ -225,6 +265,8 @@
 		       take_peers(env->peers, &out->u.peers);
 	case FLOW_MSG_FIND:
 	case FLOW_MSG_FOUND:
+		return env->body_case == PWF__ENVELOPE__BODY_FIND &&
+		       take_find(env->find, &out->u.find);
 	case FLOW_MSG_ACCEPTED:
 	case FLOW_MSG_REFUSED:
 	case FLOW_MSG_AWAY:
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -17,6 +17,11 @@
 /** A target returns a packet within a fraction of this, ms: once it has sent
  * anything later than that, it holds the flow. */
 #define RETURN_MS 5
+/** Time between two tries whether the target listens, ms. */
+#define TRY_MS 500
+/** Requests that wait while nothing at all comes from the target for this are
+ * a reason to try it, ms: it acknowledges what it gets much sooner. */
+#define MUTE_MS 300
 /** Words that a target may have said before its agent heard one, when the
  * two started together. */
 #define FIRST_WORDS 3
@@ -122,9 +127,11 @@
 say_where(struct fa *fa, uint64_t to, const struct flow_key *flow,
     enum flow_where where)
 {
-	struct msg_flow about = {.flow = *flow, .where = where};
+	struct flow_msg m = {.kind = FLOW_MSG_FOUND};
 
-	send_flow(fa, to, FLOW_MSG_FOUND, &about);
+	m.u.find.count = 1;
+	m.u.find.flows[0] = (struct msg_found){.flow = *flow, .where = where};
+	send(fa, to, &m);
 }
 
 static void
@@ -148,6 +155,9 @@
 	if (p->data > 0) {
 		smooth(fa, now);
 		table_ask(&fa->flows, f, now);
+		/* The first that the target has not reacted to. */
+		if (fa->given_ns <= fa->target.heard_ns)
+			fa->given_ns = now;
 	}
 	ctr_inc(fa->ctr, CTR_TARGET_OUT);
 	fa->out->deliver(fa->ctx, p);
@@ -432,20 +442,30 @@
 
 /* ---- messages ---- */
 
+static enum flow_where
+where_is(const struct fa *fa, const struct msg_found *asked, uint64_t now)
+{
+	const struct held_flow *f = table_find(&fa->flows, &asked->flow);
+
+	if (f == NULL || f->state == HELD_TRIED)
+		return fa->knows_all || target_ended(&fa->target, now)
+			   ? FLOW_NOT_HERE
+			   : FLOW_UNSURE;
+	return f->state != HELD_OPENING && table_fits(f, asked->ack)
+		   ? FLOW_HERE
+		   : FLOW_NOT_HERE;
+}
+
 static void
 on_find(struct fa *fa, const struct flow_msg *m, uint64_t now)
 {
-	const struct held_flow *f = table_find(&fa->flows, &m->u.flow.flow);
-	enum flow_where where = FLOW_NOT_HERE;
+	struct flow_msg answer = {.kind = FLOW_MSG_FOUND};
 
-	if (f == NULL || f->state == HELD_TRIED) {
-		if (!fa->knows_all && !target_ended(&fa->target, now))
-			where = FLOW_UNSURE;
-	} else if (f->state != HELD_OPENING &&
-		   table_fits(f, m->u.flow.ack)) {
-		where = FLOW_HERE;
-	}
-	say_where(fa, m->from, &m->u.flow.flow, where);
+	answer.u.find = m->u.find;
+	for (uint32_t i = 0; i < m->u.find.count; i++)
+		answer.u.find.flows[i].where =
+		    where_is(fa, &m->u.find.flows[i], now);
+	send(fa, m->from, &answer);
 }
 
 static void
@@ -528,6 +548,47 @@
 	}
 }
 
+/* Whether there is reason to doubt that the target lives. */
+static bool
+doubtful(const struct fa *fa, uint64_t now)
+{
+	const struct target *t = &fa->target;
+
+	if (t->refused)
+		return false;
+	if (t->word.id == 0 && t->heard_ns == 0)
+		return true;
+	if (t->suspected)
+		return true;
+	return fa->given_ns > t->heard_ns && passed(fa->given_ns, MUTE_MS, now);
+}
+
+static void
+tick_doubt(struct fa *fa, uint64_t now)
+{
+	if (fa->trying || !doubtful(fa, now) ||
+	    !passed(fa->tried_ns, TRY_MS, now))
+		return;
+	fa->trying = true;
+	fa->tried_ns = now;
+	fa->out->try_target(fa->ctx);
+}
+
+void
+fa_tried(struct fa *fa, enum fa_sign sign, uint64_t now)
+{
+	static const char *const names[] = {"listens", "refuses", "nothing"};
+
+	fa->trying = false;
+	event("target_tried", "s:s, s:i, s:I", "sign", names[sign], "flows",
+	    (int)fa->flows.open, "heard_ago_ms",
+	    (json_int_t)((now - fa->target.heard_ns) / NS_PER_MS));
+	if (sign != FA_REFUSES)
+		return;
+	target_refused(&fa->target);
+	reset_all(fa, now);
+}
+
 static void
 tell_all(struct fa *fa, uint64_t now)
 {
@@ -585,6 +646,7 @@
 	if (!passed(fa->ticked_ns, GAP_MS, now))
 		tick_openings(fa, now);
 	fa->ticked_ns = now;
+	tick_doubt(fa, now);
 	tick_state(fa, now);
 	if (passed(fa->expired_ns, EXPIRE_MS, now)) {
 		fa->expired_ns = now;
--- a/src/flow/agent.h
+++ b/src/flow/agent.h
@@ -20,6 +20,8 @@
 	void (*answer)(void *ctx, const struct flow_packet *p);
 	/** End a flow towards its caller; ack is the caller's latest. */
 	void (*reset)(void *ctx, const struct flow_key *flow, uint32_t ack);
+	/** Try whether anything listens at the target; fa_tried() follows. */
+	void (*try_target)(void *ctx);
 	/** Send a message to a balancer. */
 	void (*send)(void *ctx, uint64_t to, const struct flow_msg *m);
 };
@@ -65,6 +67,9 @@
 	uint64_t busy_milli; /**< requests at the target, smoothed */
 	uint64_t busy_ns;    /**< when it was last brought up to date */
 	uint64_t ticked_ns;
+	uint64_t given_ns; /**< request that the target did not react to yet */
+	uint64_t tried_ns; /**< latest try_target() */
+	bool trying;	   /**< its outcome is due */
 	uint64_t told_ns;
 	uint64_t asked_ns; /**< a list of balancers was asked for */
 	uint64_t expired_ns;
@@ -86,6 +91,15 @@
 /** The target said something of itself. */
 enum word_result fa_word(
     struct fa *fa, const struct target_word *w, uint64_t now);
+/** What trying the target showed. */
+enum fa_sign {
+	FA_LISTENS, /**< it accepted a connection */
+	FA_REFUSES, /**< nothing listens there: no target lives */
+	FA_NOTHING, /**< no answer */
+};
+
+/** The outcome of try_target(). */
+void fa_tried(struct fa *fa, enum fa_sign sign, uint64_t now);
 /** A message came from a balancer. */
 void fa_message(struct fa *fa, const struct flow_msg *m, uint64_t now);
 /** Time passes; to be called every FA_TICK_MS. */
--- a/src/flow/agents.h
+++ b/src/flow/agents.h
@@ -34,6 +34,7 @@
 	uint64_t avoid_until_ns; /**< did not answer an opening in time */
 	uint32_t placed;	 /**< flows given to it since it last said */
 	struct agent_group *group;
+	struct msg_find questions; /**< to be sent together */
 	UT_hash_handle hh;
 };
 
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -20,9 +20,8 @@
 #define AVOID_MS 1000
 /** Agents have all had time for a heartbeat after this, ms. */
 #define WARM_MS 900
-/** A balancer that has no other to compare itself with concludes that a flow
- * is gone only after this, ms: longer than an agent takes to restart. */
-#define ALONE_MS 5000
+/** After this an agent that restarted while this balancer did is known, ms. */
+#define RETURN_MS 5000
 /** A longer gap between ticks means that this process stood still, ms. */
 #define GAP_MS 500
 /** After it, silence of others proves nothing for this, ms. */
@@ -96,6 +95,8 @@
 
 	if (!warm(fb, now) || now < fb->trusted_ns || known == 0)
 		return false;
+	if (passed(fb->began_ns, RETURN_MS, now))
+		return true;
 	HASH_ITER(hh, fb->peers.table, e, next)
 	{
 		if (!heard_lately(e, now))
@@ -104,7 +105,7 @@
 			return false;
 		compared++;
 	}
-	return compared > 0 || passed(fb->began_ns, ALONE_MS, now);
+	return compared > 0;
 }
 
 bool
@@ -328,21 +329,56 @@
 
 /* ---- searches ---- */
 
+static void
+send_questions(struct fb *fb, struct agent_view *v)
+{
+	struct flow_msg m = {.kind = FLOW_MSG_FIND, .u.find = v->questions};
+
+	v->questions.count = 0;
+	send(fb, v->id, &m);
+}
+
+void
+fb_flush(struct fb *fb)
+{
+	struct agent_view *v, *next;
+
+	if (!fb->questions)
+		return;
+	fb->questions = false;
+	HASH_ITER(hh, fb->agents.table, v, next)
+	{
+		if (v->questions.count > 0)
+			send_questions(fb, v);
+	}
+}
+
+static void
+gather(struct fb *fb, const struct search *e, uint64_t agent)
+{
+	struct agent_view *v = agents_find(&fb->agents, agent);
+
+	if (v == NULL)
+		return;
+	v->questions.flows[v->questions.count++] =
+	    (struct msg_found){.flow = e->flow, .ack = e->ack};
+	fb->questions = true;
+	if (v->questions.count == FLOW_FIND_MAX)
+		send_questions(fb, v);
+}
+
 static void
 ask_next(struct fb *fb, struct search *e, uint64_t now)
 {
 	const struct search_field field = {.agents = &fb->agents,
 	    .route = routes_find(&fb->routes, e->flow.service),
 	    .domain = fb->setup.domain};
-	struct flow_msg m = {.kind = FLOW_MSG_FIND};
 	size_t first;
 
-	m.u.flow.flow = e->flow;
-	m.u.flow.ack = e->ack;
 	search_next(e, &field, now, &first);
 	ctr_add(fb->ctr, CTR_SEARCH_ASKED, e->asked_count - first);
 	for (size_t i = first; i < e->asked_count; i++)
-		send(fb, e->asked[i].agent, &m);
+		gather(fb, e, e->asked[i].agent);
 }
 
 /*
@@ -391,18 +427,18 @@
 }
 
 static void
-on_found(struct fb *fb, const struct flow_msg *m, uint64_t now)
+on_found(struct fb *fb, struct agent_view *v, const struct msg_found *found,
+    uint64_t now)
 {
-	struct search *e = searches_find(&fb->searches, &m->u.flow.flow);
-	struct agent_view *v = agents_find(&fb->agents, m->from);
+	struct search *e = searches_find(&fb->searches, &found->flow);
 
-	if (m->u.flow.where == FLOW_HERE) {
-		hint_set(fb->hints, &m->u.flow.flow, m->from);
+	if (found->where == FLOW_HERE) {
+		hint_set(fb->hints, &found->flow, v->id);
 		ctr_inc(fb->ctr, CTR_HINTS);
 	}
-	if (e == NULL || v == NULL)
+	if (e == NULL)
 		return;
-	if (m->u.flow.where == FLOW_HERE) {
+	if (found->where == FLOW_HERE) {
 		for (size_t i = 0; i < e->held_count; i++)
 			forward(fb, v,
 			    (struct str){e->held[i]->bytes, e->held[i]->len},
@@ -410,8 +446,8 @@
 		searches_drop(&fb->searches, e);
 		return;
 	}
-	search_answer(e, m->from, m->u.flow.where);
-	if (m->u.flow.where == FLOW_UNSURE && e->held_count > 0) {
+	search_answer(e, v->id, found->where);
+	if (found->where == FLOW_UNSURE && e->held_count > 0) {
 		ctr_inc(fb->ctr, CTR_SEARCH_PROBES);
 		forward(fb, v, (struct str){e->held[0]->bytes, e->held[0]->len},
 		    true);
@@ -419,6 +455,17 @@
 	go_on(fb, e, now);
 }
 
+static void
+on_found_list(struct fb *fb, const struct flow_msg *m, uint64_t now)
+{
+	struct agent_view *v = agents_find(&fb->agents, m->from);
+
+	if (v == NULL)
+		return;
+	for (uint32_t i = 0; i < m->u.find.count; i++)
+		on_found(fb, v, &m->u.find.flows[i], now);
+}
+
 static void
 on_away(struct fb *fb, const struct flow_msg *m, uint64_t now)
 {
@@ -557,7 +604,7 @@
 		on_peers(fb, &m->u.peers, now);
 		return;
 	case FLOW_MSG_FOUND:
-		on_found(fb, m, now);
+		on_found_list(fb, m, now);
 		return;
 	case FLOW_MSG_ACCEPTED:
 		on_accepted(fb, m);
--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -51,6 +51,7 @@
 	struct searches searches;
 	struct rng rng;
 	uint64_t sequence;
+	bool questions; /**< some are gathered */
 	uint64_t began_ns;
 	uint64_t first_agent_ns; /**< when the first agent was heard, or 0 */
 	uint64_t ticked_ns;
@@ -74,6 +75,11 @@
  * @return false when it is not newer than the one in force: freed
  */
 bool fb_routes(struct fb *fb, struct routes *next, uint64_t now);
+/**
+ * Send the questions gathered; to be called when all that had come was read.
+ * The busier a balancer is, the more of them travel in one message.
+ */
+void fb_flush(struct fb *fb);
 /** Time passes; to be called every FB_TICK_MS. */
 void fb_tick(struct fb *fb, uint64_t now);
 /** This process stood still: silence of others proves nothing for a while. */
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -18,7 +18,7 @@
 	FLOW_MSG_AGENT = 1, /**< an agent's heartbeat with its load */
 	FLOW_MSG_BALANCER,  /**< a balancer's heartbeat */
 	FLOW_MSG_PEERS,	    /**< balancers that the sender knows */
-	FLOW_MSG_FIND,	    /**< does your target hold this flow? */
+	FLOW_MSG_FIND,	    /**< does your target hold these flows? */
 	FLOW_MSG_FOUND,	    /**< the answer, also when nobody asked */
 	FLOW_MSG_ACCEPTED,  /**< the target took an opening packet */
 	FLOW_MSG_REFUSED,   /**< it did not, nor will it */
@@ -47,8 +47,8 @@
 	uint32_t waiting;    /**< requests held now */
 	uint32_t flows;	     /**< open flows */
 	uint32_t period_ms;  /**< until the next heartbeat */
-	uint64_t peers;		   /**< digest of the balancers it knows */
-	bool gone;		   /**< it ends, and its target has ended */
+	uint64_t peers;	     /**< digest of the balancers it knows */
+	bool gone;	     /**< it ends, and its target has ended */
 };
 
 /** A balancer's heartbeat. */
@@ -87,11 +87,26 @@
 	FLOW_REFUSED_SILENT,	  /**< the target did not answer in time */
 };
 
+/** Flows in one question or answer. */
+#define FLOW_FIND_MAX 32
+
+/** A flow that is looked for. */
+struct msg_found {
+	struct flow_key flow;
+	uint32_t ack;	       /**< FIND: tells two openings apart */
+	enum flow_where where; /**< FOUND */
+};
+
+/** Flows that are looked for, or the answer about them. */
+struct msg_find {
+	uint32_t count;
+	struct msg_found flows[FLOW_FIND_MAX];
+};
+
 /** About one flow; which fields count depends on the kind. */
 struct msg_flow {
 	struct flow_key flow;
-	uint32_t ack;		   /**< FIND: tells two openings apart */
-	enum flow_where where;	   /**< FOUND */
+	uint32_t ack;		   /**< AWAY: the caller's latest */
 	enum flow_refusal refusal; /**< REFUSED */
 	uint32_t busy_milli;	   /**< ACCEPTED, REFUSED: as a heartbeat */
 	uint32_t flows;		   /**< ACCEPTED, REFUSED: as a heartbeat */
@@ -108,6 +123,7 @@
 		struct msg_agent agent;
 		struct msg_balancer balancer;
 		struct msg_peers peers;
+		struct msg_find find;
 		struct msg_flow flow;
 	} u;
 };
--- a/src/flow/place.c
+++ b/src/flow/place.c
@@ -151,8 +151,9 @@
 	}
 	cost = place_cost(v, c->mean, ask->domain, ask->now);
 	if (c->best != NULL &&
-	    (cost > c->cost || (cost == c->cost && rank_of(v, ask->flow) >
-						       rank_of(c->best, ask->flow))))
+	    (cost > c->cost ||
+		(cost == c->cost &&
+		    rank_of(v, ask->flow) > rank_of(c->best, ask->flow))))
 		return;
 	c->best = v;
 	c->cost = cost;
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -70,21 +70,20 @@
 		e->complete &= !agents_awaited(v, now);
 		return;
 	}
-	e->asked =
-	    mem_grow(e->asked, e->asked_count + 1, sizeof(*e->asked));
+	e->asked = mem_grow(e->asked, e->asked_count + 1, sizeof(*e->asked));
 	e->asked[e->asked_count++] = (struct search_asked){.agent = v->id};
 	e->pending++;
 }
 
 /* Candidates of the flow, of each service that its address leads to. */
 static void
-add_candidates(struct search *e, const struct search_field *field, bool near,
-    uint64_t now)
+add_candidates(
+    struct search *e, const struct search_field *field, bool near, uint64_t now)
 {
 	uint64_t flow = flow_hash(&e->flow);
 
 	for (size_t i = 0; field->route != NULL && i < field->route->count;
-	    i++) {
+	     i++) {
 		const struct agent_group *g = agents_group(
 		    field->agents, field->route->shares[i].service);
 
@@ -162,7 +161,8 @@
 
 		if (a->agent != agent)
 			continue;
-		/* An unsure agent denies when its target returned the packet. */
+		/* An unsure agent denies when its target returned the packet.
+		 */
 		if (where == FLOW_NOT_HERE && (!a->answered || a->unsure))
 			e->pending--;
 		e->trying -= a->unsure ? 1 : 0;
--- a/src/flow/table.h
+++ b/src/flow/table.h
@@ -28,8 +28,8 @@
 	uint64_t began_ns;   /**< in this state */
 	uint64_t used_ns;    /**< latest packet either way */
 	uint64_t asked_ns;   /**< request given to the target, 0 for none */
-	uint32_t target_seq;  /**< the target's latest number */
-	bool target_known;    /**< whether one was seen */
+	uint32_t target_seq; /**< the target's latest number */
+	bool target_known;   /**< whether one was seen */
 	uint32_t caller_ack; /**< the caller's latest */
 	bool caller_done;    /**< its FIN was seen */
 	bool target_done;
--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -65,6 +65,7 @@
 		return WORD_OLD;
 	t->gone_ns = 0;
 	t->suspected = false;
+	t->refused = false;
 	return first || same ? WORD_TAKEN : WORD_NEW_LIFE;
 }
 
@@ -73,6 +74,13 @@
 {
 	t->heard_ns = now;
 	t->suspected = false;
+	t->refused = false;
+}
+
+void
+target_refused(struct target *t)
+{
+	t->refused = true;
 }
 
 void
@@ -85,6 +93,8 @@
 enum target_state
 target_state_at(const struct target *t, uint64_t now)
 {
+	if (t->refused)
+		return TARGET_ABSENT;
 	if (t->word.id == 0)
 		return now > t->began_ns + silence_ns(t) ? TARGET_ABSENT
 							 : TARGET_UNKNOWN;
@@ -102,6 +112,8 @@
 bool
 target_ended(const struct target *t, uint64_t now)
 {
+	if (t->refused)
+		return true;
 	if (t->word.id == 0)
 		return target_state_at(t, now) == TARGET_ABSENT &&
 		       t->heard_ns == 0;
--- a/src/flow/target.h
+++ b/src/flow/target.h
@@ -39,14 +39,17 @@
 	uint64_t word_ns;	 /**< when it came */
 	uint64_t cold_until_ns;
 	uint64_t heard_ns; /**< latest packet from it */
-	uint64_t began_ns;	  /**< when its agent began to listen */
+	uint64_t began_ns; /**< when its agent began to listen */
 	uint64_t gone_ns;  /**< when its end was told, or 0 */
+	bool refused;	   /**< nothing listened at its address */
 	bool suspected;	   /**< an opening got no answer in time */
 };
 
 /** Take in a word. */
 enum word_result target_say(
     struct target *t, const struct target_word *w, uint64_t now);
+/** Nothing listens at its address: it does not live. */
+void target_refused(struct target *t);
 /** A packet came from it: it lives. */
 void target_heard(struct target *t, uint64_t now);
 /** An opening given to it at a time was not answered. */
--- a/src/task/flow_agent_task.c
+++ b/src/task/flow_agent_task.c
@@ -11,6 +11,8 @@
 
 /** No balancer answered within this: the store's entries are read, ms. */
 #define LONELY_MS 1000
+/** Nothing came of a connection to the target within this, ms. */
+#define TRY_MS 300
 /** They are read again after this while nobody answers, ms. */
 #define LONELY_AGAIN_MS 5000
 
@@ -18,7 +20,10 @@
 	struct flow_node node;
 	struct fa fa;
 	struct store *store;
-	struct udp target;   /**< where the target's packets come in */
+	struct udp target; /**< where the target's packets come in */
+	uv_tcp_t try_tcp;  /**< a connection that tries the target */
+	uv_timer_t try_timer;
+	uv_connect_t try_connect;
 	struct web words;    /**< where the target's heartbeats come in */
 	uint64_t listed_ns;  /**< store's entries asked for, or begin */
 	uint64_t message_ns; /**< latest message of a balancer */
@@ -77,6 +82,50 @@
 	flow_node_reset(&t->node, flow, ack);
 }
 
+/* ---- trying whether the target listens ---- */
+
+static void
+end_try(struct task_state *t, enum fa_sign sign)
+{
+	if (uv_is_closing((uv_handle_t *)&t->try_timer))
+		return;
+	uv_close((uv_handle_t *)&t->try_timer, NULL);
+	uv_close((uv_handle_t *)&t->try_tcp, NULL);
+	fa_tried(&t->fa, sign, flow_node_now());
+}
+
+static void
+on_try_connected(uv_connect_t *c, int status)
+{
+	if (status == UV_ECANCELED)
+		return;
+	end_try(c->data, status == 0		     ? FA_LISTENS
+			 : status == UV_ECONNREFUSED ? FA_REFUSES
+						     : FA_NOTHING);
+}
+
+static void
+on_try_timeout(uv_timer_t *timer)
+{
+	end_try(timer->data, FA_NOTHING);
+}
+
+static void
+try_target(void *ctx)
+{
+	struct task_state *t = ctx;
+	struct sockaddr_in sin = addr_to_sys(t->node.set.target);
+
+	uv_tcp_init(t->node.loop, &t->try_tcp);
+	uv_timer_init(t->node.loop, &t->try_timer);
+	t->try_timer.data = t;
+	t->try_connect.data = t;
+	uv_timer_start(&t->try_timer, on_try_timeout, TRY_MS, 0);
+	if (uv_tcp_connect(&t->try_connect, &t->try_tcp,
+		(struct sockaddr *)&sin, on_try_connected) != 0)
+		end_try(t, FA_NOTHING);
+}
+
 static void
 send_message(void *ctx, uint64_t to, const struct flow_msg *m)
 {
@@ -85,7 +134,8 @@
 	flow_node_send(&t->node, to, m);
 }
 
-static const struct fa_out out = {deliver, answer, reset, send_message};
+static const struct fa_out out = {
+    deliver, answer, reset, try_target, send_message};
 
 /* ---- calls ---- */
 
--- a/src/task/flow_balancer_task.c
+++ b/src/task/flow_balancer_task.c
@@ -234,6 +234,14 @@
 	store_renew(t->store);
 }
 
+static void
+on_settled(void *ctx)
+{
+	struct task_state *t = ctx;
+
+	fb_flush(&t->fb);
+}
+
 static void
 watch_ready(struct task_state *t, uint64_t now)
 {
@@ -294,6 +302,7 @@
 /* ---- life ---- */
 
 static const struct flow_node_ops ops = {.message = on_message,
+    .settled = on_settled,
     .tick = on_tick,
     .paused = on_paused,
     .reloaded = on_reloaded,
--- a/src/task/flow_node.c
+++ b/src/task/flow_node.c
@@ -148,6 +148,35 @@
 	event_flush(now);
 }
 
+static void
+on_after_poll(uv_check_t *h)
+{
+	struct flow_node *n = h->data;
+
+	n->ops->settled(n->ctx);
+}
+
+static void
+on_before_poll(uv_prepare_t *h)
+{
+	struct flow_node *n = h->data;
+
+	n->ops->settled(n->ctx);
+}
+
+static void
+watch_loop(struct flow_node *n)
+{
+	uv_check_init(n->loop, &n->after_poll);
+	uv_prepare_init(n->loop, &n->before_poll);
+	n->after_poll.data = n;
+	n->before_poll.data = n;
+	if (n->ops->settled == NULL)
+		return;
+	uv_check_start(&n->after_poll, on_after_poll);
+	uv_prepare_start(&n->before_poll, on_before_poll);
+}
+
 static void
 on_hup(uv_signal_t *sig, int number)
 {
@@ -213,6 +242,7 @@
 	uv_signal_init(n->loop, &n->hup);
 	n->hup.data = n;
 	uv_signal_start(&n->hup, on_hup, SIGHUP);
+	watch_loop(n);
 	event("start", "s:s, s:s, s:I, s:i", "name", n->set.name, "domain",
 	    n->set.domain, "incarnation", (json_int_t)n->incarnation, "seeds",
 	    (int)n->seed_count);
@@ -226,6 +256,8 @@
 	event_flush(flow_node_now());
 	uv_close((uv_handle_t *)&n->tick, NULL);
 	uv_close((uv_handle_t *)&n->hup, NULL);
+	uv_close((uv_handle_t *)&n->after_poll, NULL);
+	uv_close((uv_handle_t *)&n->before_poll, NULL);
 	udp_close(&n->control, NULL);
 	udp_close(&n->packets, NULL);
 	web_close(&n->internal);
--- a/src/task/flow_node.h
+++ b/src/task/flow_node.h
@@ -25,6 +25,8 @@
 struct flow_node_ops {
 	/** A message came. */
 	void (*message)(void *ctx, const struct flow_msg *m, uint64_t now);
+	/** All that had come was read; may be NULL. */
+	void (*settled)(void *ctx);
 	/** Time passed. */
 	void (*tick)(void *ctx, uint64_t now);
 	/** The machine was suspended, or this process held up. */
@@ -57,6 +59,8 @@
 	struct flow_arena arena;
 	uv_timer_t tick;
 	uv_signal_t hup;
+	uv_check_t after_poll;
+	uv_prepare_t before_poll;
 	uint64_t id;
 	uint64_t incarnation;
 	uint64_t seeds[FLOW_SEEDS_MAX];
