balancer: open flows go on before the first configuration

Change: only an opening needs a route; a packet of an open flow is looked for among the candidates of every service.

--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -501,6 +501,19 @@
 	seek(fb, p, now);
 }
 
+/*
+ * Before the first configuration has come, which may take as long as the
+ * platform is away, open flows go on: only a new one needs a route.
+ */
+static void
+without_routes(struct fb *fb, const struct flow_packet *p, uint64_t now)
+{
+	if ((p->flags & FLOW_SYN) != 0)
+		ctr_inc(fb->ctr, CTR_DROP_NO_CONFIG);
+	else
+		continue_flow(fb, p, now);
+}
+
 void
 fb_caller(struct fb *fb, const struct flow_packet *p, uint64_t now)
 {
@@ -508,7 +521,7 @@
 
 	ctr_inc(fb->ctr, CTR_CALLER_IN);
 	if (fb->routes.version == 0) {
-		ctr_inc(fb->ctr, CTR_DROP_NO_CONFIG);
+		without_routes(fb, p, now);
 		return;
 	}
 	route = routes_find(&fb->routes, p->flow.service);
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -75,25 +75,39 @@
 	e->pending++;
 }
 
-/* Candidates of the flow, of each service that its address leads to. */
+/* Candidates of the flow in one service. */
 static void
-add_candidates(
-    struct search *e, const struct search_field *field, bool near, uint64_t now)
+add_group(struct search *e, const struct agent_group *g, const char *domain,
+    bool near, uint64_t now)
 {
 	uint64_t flow = flow_hash(&e->flow);
 
-	for (size_t i = 0; field->route != NULL && i < field->route->count;
-	     i++) {
-		const struct agent_group *g = agents_group(
-		    field->agents, field->route->shares[i].service);
+	for (size_t i = 0; g != NULL && i < g->count; i++) {
+		const struct agent_view *v = g->members[i];
+		bool own = strcmp(v->said.domain, domain) == 0;
 
-		for (size_t k = 0; g != NULL && k < g->count; k++) {
-			const struct agent_view *v = g->members[k];
-			bool own = strcmp(v->said.domain, field->domain) == 0;
+		if (own == near && place_is_candidate(v, flow))
+			add(e, v, now);
+	}
+}
 
-			if (own == near && place_is_candidate(v, flow))
-				add(e, v, now);
-		}
+/* Of each service that its address leads to, or of all if that is unknown. */
+static void
+add_candidates(struct search *e, const struct search_field *field, bool near,
+    uint64_t now)
+{
+	const struct flow_route *route = field->route;
+	struct agent_group *g, *next;
+
+	for (size_t i = 0; route != NULL && i < route->count; i++)
+		add_group(e,
+		    agents_group(field->agents, route->shares[i].service),
+		    field->domain, near, now);
+	if (route != NULL)
+		return;
+	HASH_ITER(hh, field->agents->groups, g, next)
+	{
+		add_group(e, g, field->domain, near, now);
 	}
 }
 
