search: packets are held until agents are heard, and those are asked

Change: a search stays open for its life, asks agents that join meanwhile, and ends early only when the denial is certain; a balancer is warm one heartbeat period after its first agent.

--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -18,8 +18,9 @@
 #define OFFER_MS 150
 /** An agent that let an opening wait gets no new ones for this, ms. */
 #define AVOID_MS 1000
-/** Agents have all had time for a heartbeat after this, ms. */
-#define WARM_MS 900
+/** Agents have all had time for a heartbeat when this has passed beyond the
+ * period that the first of them told, ms. */
+#define WARM_MORE_MS 150
 /** After this an agent that restarted while this balancer did is known, ms. */
 #define RETURN_MS 5000
 /** A longer gap between ticks means that this process stood still, ms. */
@@ -72,7 +73,8 @@
 warm(const struct fb *fb, uint64_t now)
 {
 	return fb->first_agent_ns != 0 &&
-	       passed(fb->first_agent_ns, WARM_MS, now);
+	       passed(
+		   fb->first_agent_ns, fb->first_period_ms + WARM_MORE_MS, now);
 }
 
 static bool
@@ -394,7 +396,8 @@
 	if (search_due(e, now))
 		ask_next(fb, e, now);
 	verdict = search_verdict(e, now);
-
+	if (verdict == SEARCH_NOBODY && !certain(fb, now))
+		verdict = search_expired(e, now) ? SEARCH_UNKNOWN : SEARCH_OPEN;
 	if (verdict == SEARCH_OPEN)
 		return;
 	event("search_ended", "s:s, s:s, s:i, s:i, s:b, s:I", "caller",
@@ -403,7 +406,7 @@
 	    (int)e->asked_count, "open", (int)e->pending, "complete",
 	    (int)e->complete, "took_ms",
 	    (json_int_t)((now - e->began_ns) / NS_PER_MS));
-	if (verdict == SEARCH_NOBODY && certain(fb, now))
+	if (verdict == SEARCH_NOBODY)
 		reset(fb, &e->flow, e->ack, CTR_RESET_GONE);
 	else
 		ctr_inc(fb->ctr, CTR_SEARCH_UNKNOWN);
@@ -564,8 +567,10 @@
 		agents_forget(&fb->agents, m->from);
 		return;
 	}
-	if (fb->first_agent_ns == 0)
+	if (fb->first_agent_ns == 0) {
 		fb->first_agent_ns = now;
+		fb->first_period_ms = v->said.period_ms;
+	}
 	if (v->said.state != was)
 		event("agent", "s:s, s:i, s:i, s:I", "agent",
 		    addr_text(addr_unpack(m->from), agent), "state",
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -93,8 +93,8 @@
 
 /* Of each service that its address leads to, or of all if that is unknown. */
 static void
-add_candidates(struct search *e, const struct search_field *field, bool near,
-    uint64_t now)
+add_candidates(
+    struct search *e, const struct search_field *field, bool near, uint64_t now)
 {
 	const struct flow_route *route = field->route;
 	struct agent_group *g, *next;
@@ -131,13 +131,16 @@
     size_t *first)
 {
 	*first = e->asked_count;
-	while (e->tier < SEARCH_TIERS && e->asked_count == *first) {
-		if (e->tier == SEARCH_ALL)
-			add_all(e, field, now);
-		else
-			add_candidates(e, field, e->tier == SEARCH_NEAR, now);
+	e->complete = true;
+	while (e->tier < SEARCH_ALL && e->asked_count == *first) {
+		add_candidates(e, field, e->tier == SEARCH_NEAR, now);
 		e->tier++;
 	}
+	/* Agents that came meanwhile are asked when it is due again. */
+	if (e->asked_count == *first) {
+		add_all(e, field, now);
+		e->tier = SEARCH_TIERS;
+	}
 	e->asked_ns = now;
 }
 
@@ -147,8 +150,9 @@
 	uint64_t wait_ms =
 	    e->trying == e->pending ? SEARCH_TRY_MS : SEARCH_NEXT_MS;
 
-	return e->tier < SEARCH_TIERS &&
-	       (e->pending == 0 || now >= e->asked_ns + wait_ms * NS_PER_MS);
+	if (e->tier < SEARCH_TIERS && e->pending == 0)
+		return true;
+	return now >= e->asked_ns + wait_ms * NS_PER_MS;
 }
 
 bool
@@ -187,12 +191,17 @@
 	}
 }
 
+bool
+search_expired(const struct search *e, uint64_t now)
+{
+	return now > e->began_ns + SEARCH_LIFE_MS * NS_PER_MS;
+}
+
 enum search_verdict
 search_verdict(const struct search *e, uint64_t now)
 {
-	if (e->tier == SEARCH_TIERS && e->pending == 0 && e->complete)
+	if (e->tier == SEARCH_TIERS && e->asked_count > 0 && e->pending == 0 &&
+	    e->complete)
 		return SEARCH_NOBODY;
-	if (now - e->began_ns > SEARCH_LIFE_MS * NS_PER_MS)
-		return SEARCH_UNKNOWN;
-	return SEARCH_OPEN;
+	return search_expired(e, now) ? SEARCH_UNKNOWN : SEARCH_OPEN;
 }
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -100,6 +100,8 @@
 bool search_hold(struct search *e, const struct flow_packet *p);
 /** Take in an agent's denial or doubt. */
 void search_answer(struct search *e, uint64_t agent, enum flow_where where);
+/** Whether a search has taken SEARCH_LIFE_MS. */
+bool search_expired(const struct search *e, uint64_t now);
 /** What is known so far. */
 enum search_verdict search_verdict(const struct search *e, uint64_t now);
 /** End a search. */
