balancer: a busy one waits longer and asks less; agents are told of

Change: balancers whose sets of agents differ tell each other, and greet what they do not hear; waits grow with the lag of the tick; questions to all agents keep a budget by the share of a core.

--- a/src/codec/flow.pb-c.c
+++ b/src/codec/flow.pb-c.c
@@ -322,6 +322,141 @@
   assert(message->base.descriptor == &pwf__find__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pwf__share__init
+                     (Pwf__Share         *message)
+{
+  static const Pwf__Share init_value = PWF__SHARE__INIT;
+  *message = init_value;
+}
+size_t pwf__share__get_packed_size
+                     (const Pwf__Share *message)
+{
+  assert(message->base.descriptor == &pwf__share__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pwf__share__pack
+                     (const Pwf__Share *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pwf__share__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pwf__share__pack_to_buffer
+                     (const Pwf__Share *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pwf__share__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pwf__Share *
+       pwf__share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pwf__Share *)
+     protobuf_c_message_unpack (&pwf__share__descriptor,
+                                allocator, len, data);
+}
+void   pwf__share__free_unpacked
+                     (Pwf__Share *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pwf__share__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pwf__route__init
+                     (Pwf__Route         *message)
+{
+  static const Pwf__Route init_value = PWF__ROUTE__INIT;
+  *message = init_value;
+}
+size_t pwf__route__get_packed_size
+                     (const Pwf__Route *message)
+{
+  assert(message->base.descriptor == &pwf__route__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pwf__route__pack
+                     (const Pwf__Route *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pwf__route__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pwf__route__pack_to_buffer
+                     (const Pwf__Route *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pwf__route__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pwf__Route *
+       pwf__route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pwf__Route *)
+     protobuf_c_message_unpack (&pwf__route__descriptor,
+                                allocator, len, data);
+}
+void   pwf__route__free_unpacked
+                     (Pwf__Route *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pwf__route__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   pwf__routes__init
+                     (Pwf__Routes         *message)
+{
+  static const Pwf__Routes init_value = PWF__ROUTES__INIT;
+  *message = init_value;
+}
+size_t pwf__routes__get_packed_size
+                     (const Pwf__Routes *message)
+{
+  assert(message->base.descriptor == &pwf__routes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pwf__routes__pack
+                     (const Pwf__Routes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pwf__routes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pwf__routes__pack_to_buffer
+                     (const Pwf__Routes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pwf__routes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pwf__Routes *
+       pwf__routes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pwf__Routes *)
+     protobuf_c_message_unpack (&pwf__routes__descriptor,
+                                allocator, len, data);
+}
+void   pwf__routes__free_unpacked
+                     (Pwf__Routes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pwf__routes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pwf__envelope__init
                      (Pwf__Envelope         *message)
 {
@@ -548,7 +683,7 @@
   (ProtobufCMessageInit) pwf__agent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[5] =
+static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[7] =
 {
   {
     "domain",
@@ -610,9 +745,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "agent_set",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Balancer, agent_set),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Balancer, capacity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__balancer__field_indices_by_name[] = {
+  5,   /* field[5] = agent_set */
   4,   /* field[4] = agents */
+  6,   /* field[6] = capacity */
   0,   /* field[0] = domain */
   3,   /* field[3] = leaving */
   2,   /* field[2] = peers */
@@ -621,7 +782,7 @@
 static const ProtobufCIntRange pwf__balancer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor pwf__balancer__descriptor =
 {
@@ -631,7 +792,7 @@
   "Pwf__Balancer",
   "pwf",
   sizeof(Pwf__Balancer),
-  5,
+  7,
   pwf__balancer__field_descriptors,
   pwf__balancer__field_indices_by_name,
   1,  pwf__balancer__number_ranges,
@@ -689,7 +850,7 @@
   (ProtobufCMessageInit) pwf__peer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__peers__field_descriptors[1] =
+static const ProtobufCFieldDescriptor pwf__peers__field_descriptors[2] =
 {
   {
     "peers",
@@ -703,14 +864,27 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "agents",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Peers, agents),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__peers__field_indices_by_name[] = {
+  1,   /* field[1] = agents */
   0,   /* field[0] = peers */
 };
 static const ProtobufCIntRange pwf__peers__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor pwf__peers__descriptor =
 {
@@ -720,7 +894,7 @@
   "Pwf__Peers",
   "pwf",
   sizeof(Pwf__Peers),
-  1,
+  2,
   pwf__peers__field_descriptors,
   pwf__peers__field_indices_by_name,
   1,  pwf__peers__number_ranges,
@@ -959,6 +1133,172 @@
   (ProtobufCMessageInit) pwf__find__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pwf__share__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Share, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Share, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pwf__share__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = weight */
+};
+static const ProtobufCIntRange pwf__share__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pwf__share__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pwf.Share",
+  "Share",
+  "Pwf__Share",
+  "pwf",
+  sizeof(Pwf__Share),
+  2,
+  pwf__share__field_descriptors,
+  pwf__share__field_indices_by_name,
+  1,  pwf__share__number_ranges,
+  (ProtobufCMessageInit) pwf__share__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pwf__route__field_descriptors[2] =
+{
+  {
+    "at",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Route, at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "shares",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pwf__Route, n_shares),
+    offsetof(Pwf__Route, shares),
+    &pwf__share__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pwf__route__field_indices_by_name[] = {
+  0,   /* field[0] = at */
+  1,   /* field[1] = shares */
+};
+static const ProtobufCIntRange pwf__route__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor pwf__route__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pwf.Route",
+  "Route",
+  "Pwf__Route",
+  "pwf",
+  sizeof(Pwf__Route),
+  2,
+  pwf__route__field_descriptors,
+  pwf__route__field_indices_by_name,
+  1,  pwf__route__number_ranges,
+  (ProtobufCMessageInit) pwf__route__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor pwf__routes__field_descriptors[3] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Routes, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle_ms",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Routes, idle_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "routes",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pwf__Routes, n_routes),
+    offsetof(Pwf__Routes, routes),
+    &pwf__route__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pwf__routes__field_indices_by_name[] = {
+  1,   /* field[1] = idle_ms */
+  2,   /* field[2] = routes */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange pwf__routes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor pwf__routes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pwf.Routes",
+  "Routes",
+  "Pwf__Routes",
+  "pwf",
+  sizeof(Pwf__Routes),
+  3,
+  pwf__routes__field_descriptors,
+  pwf__routes__field_indices_by_name,
+  1,  pwf__routes__number_ranges,
+  (ProtobufCMessageInit) pwf__routes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pwf__envelope__field_descriptors[9] =
 {
   {
--- a/src/codec/flow.pb-c.h
+++ b/src/codec/flow.pb-c.h
@@ -22,6 +22,9 @@
 typedef struct Pwf__Flow Pwf__Flow;
 typedef struct Pwf__Found Pwf__Found;
 typedef struct Pwf__Find Pwf__Find;
+typedef struct Pwf__Share Pwf__Share;
+typedef struct Pwf__Route Pwf__Route;
+typedef struct Pwf__Routes Pwf__Routes;
 typedef struct Pwf__Envelope Pwf__Envelope;
 
 
@@ -59,10 +62,12 @@
   uint64_t peers;
   protobuf_c_boolean leaving;
   uint32_t agents;
+  uint64_t agent_set;
+  uint32_t capacity;
 };
 #define PWF__BALANCER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__balancer__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Pwf__Peer
@@ -81,10 +86,11 @@
   ProtobufCMessage base;
   size_t n_peers;
   Pwf__Peer **peers;
+  protobuf_c_boolean agents;
 };
 #define PWF__PEERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__peers__descriptor) \
-    , 0,NULL }
+    , 0,NULL, 0 }
 
 
 struct  Pwf__Flow
@@ -127,6 +133,45 @@
     , 0,NULL }
 
 
+struct  Pwf__Share
+{
+  ProtobufCMessage base;
+  uint32_t service;
+  uint32_t weight;
+};
+#define PWF__SHARE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pwf__share__descriptor) \
+    , 0, 0 }
+
+
+struct  Pwf__Route
+{
+  ProtobufCMessage base;
+  uint64_t at;
+  size_t n_shares;
+  Pwf__Share **shares;
+};
+#define PWF__ROUTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pwf__route__descriptor) \
+    , 0, 0,NULL }
+
+
+/*
+ * One version of the configuration, as balancers pass it on.
+ */
+struct  Pwf__Routes
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  uint64_t idle_ms;
+  size_t n_routes;
+  Pwf__Route **routes;
+};
+#define PWF__ROUTES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pwf__routes__descriptor) \
+    , 0, 0, 0,NULL }
+
+
 typedef enum {
   PWF__ENVELOPE__BODY__NOT_SET = 0,
   PWF__ENVELOPE__BODY_AGENT = 5,
@@ -291,6 +336,63 @@
 void   pwf__find__free_unpacked
                      (Pwf__Find *message,
                       ProtobufCAllocator *allocator);
+/* Pwf__Share methods */
+void   pwf__share__init
+                     (Pwf__Share         *message);
+size_t pwf__share__get_packed_size
+                     (const Pwf__Share   *message);
+size_t pwf__share__pack
+                     (const Pwf__Share   *message,
+                      uint8_t             *out);
+size_t pwf__share__pack_to_buffer
+                     (const Pwf__Share   *message,
+                      ProtobufCBuffer     *buffer);
+Pwf__Share *
+       pwf__share__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pwf__share__free_unpacked
+                     (Pwf__Share *message,
+                      ProtobufCAllocator *allocator);
+/* Pwf__Route methods */
+void   pwf__route__init
+                     (Pwf__Route         *message);
+size_t pwf__route__get_packed_size
+                     (const Pwf__Route   *message);
+size_t pwf__route__pack
+                     (const Pwf__Route   *message,
+                      uint8_t             *out);
+size_t pwf__route__pack_to_buffer
+                     (const Pwf__Route   *message,
+                      ProtobufCBuffer     *buffer);
+Pwf__Route *
+       pwf__route__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pwf__route__free_unpacked
+                     (Pwf__Route *message,
+                      ProtobufCAllocator *allocator);
+/* Pwf__Routes methods */
+void   pwf__routes__init
+                     (Pwf__Routes         *message);
+size_t pwf__routes__get_packed_size
+                     (const Pwf__Routes   *message);
+size_t pwf__routes__pack
+                     (const Pwf__Routes   *message,
+                      uint8_t             *out);
+size_t pwf__routes__pack_to_buffer
+                     (const Pwf__Routes   *message,
+                      ProtobufCBuffer     *buffer);
+Pwf__Routes *
+       pwf__routes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pwf__routes__free_unpacked
+                     (Pwf__Routes *message,
+                      ProtobufCAllocator *allocator);
 /* Pwf__Envelope methods */
 void   pwf__envelope__init
                      (Pwf__Envelope         *message);
@@ -333,6 +435,15 @@
 typedef void (*Pwf__Find_Closure)
                  (const Pwf__Find *message,
                   void *closure_data);
+typedef void (*Pwf__Share_Closure)
+                 (const Pwf__Share *message,
+                  void *closure_data);
+typedef void (*Pwf__Route_Closure)
+                 (const Pwf__Route *message,
+                  void *closure_data);
+typedef void (*Pwf__Routes_Closure)
+                 (const Pwf__Routes *message,
+                  void *closure_data);
 typedef void (*Pwf__Envelope_Closure)
                  (const Pwf__Envelope *message,
                   void *closure_data);
@@ -349,6 +460,9 @@
 extern const ProtobufCMessageDescriptor pwf__flow__descriptor;
 extern const ProtobufCMessageDescriptor pwf__found__descriptor;
 extern const ProtobufCMessageDescriptor pwf__find__descriptor;
+extern const ProtobufCMessageDescriptor pwf__share__descriptor;
+extern const ProtobufCMessageDescriptor pwf__route__descriptor;
+extern const ProtobufCMessageDescriptor pwf__routes__descriptor;
 extern const ProtobufCMessageDescriptor pwf__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/src/codec/flow_wire.c
+++ b/src/codec/flow_wire.c
@@ -38,6 +38,8 @@
 	out.peers = b->peers;
 	out.leaving = b->leaving;
 	out.agents = b->agents;
+	out.agent_set = b->agent_set;
+	out.capacity = b->capacity;
 	return out;
 }
 
@@ -82,6 +84,7 @@
 		items[i].age_ms = list->peers[i].age_ms;
 		refs[i] = &items[i];
 	}
+	peers.agents = list->agents;
 	peers.n_peers = list->count;
 	peers.peers = refs;
 	env->body_case = PWF__ENVELOPE__BODY_PEERS;
@@ -202,6 +205,8 @@
 	out->peers = b->peers;
 	out->leaving = b->leaving;
 	out->agents = b->agents;
+	out->agent_set = b->agent_set;
+	out->capacity = b->capacity;
 	return true;
 }
 
@@ -210,6 +215,7 @@
 {
 	if (list == NULL || list->n_peers > FLOW_PEERS_MAX)
 		return false;
+	out->agents = list->agents;
 	out->count = (uint32_t)list->n_peers;
 	for (size_t i = 0; i < list->n_peers; i++)
 		out->peers[i] = (struct msg_peer){
--- a/src/codec/settings.c
+++ b/src/codec/settings.c
@@ -14,6 +14,7 @@
 #define DEFAULT_FLOW_LIFE_S 60
 #define DEFAULT_PLATFORM_CALLS 10
 #define DEFAULT_LOG_LINES 50
+#define DEFAULT_CAPACITY 1000
 #define FILE_MAX 65536
 
 /** A file that is being checked. */
@@ -293,6 +294,17 @@
 	r->out->platform_calls = read_number(r, key, v, 1, 1000);
 }
 
+static void
+read_cores(struct reader *r, const char *key, json_t *v)
+{
+	double cores = json_number_value(v);
+
+	if (!json_is_number(v) || cores < 0.001 || cores > 1024)
+		fault(r, key, v, "a number 0.001 to 1024");
+	else
+		r->out->capacity = (uint32_t)(cores * 1000);
+}
+
 static void
 read_log_lines(struct reader *r, const char *key, json_t *v)
 {
@@ -333,6 +345,7 @@
     {"flow_life_s", read_flow_life, 0},
     {"platform_calls", read_platform_calls, 0},
     {"log_lines", read_log_lines, 0},
+    {"cores", read_cores, 0},
     {"flow_capacity", read_flows, 0},
     {"keep_copies", read_copies, 0},
 };
@@ -405,6 +418,7 @@
 	    .flow_life_s = DEFAULT_FLOW_LIFE_S,
 	    .platform_calls = DEFAULT_PLATFORM_CALLS,
 	    .log_lines = DEFAULT_LOG_LINES,
+	    .capacity = DEFAULT_CAPACITY,
 	};
 	r.text = read_file(path);
 	if (r.text == NULL) {
--- a/src/codec/settings.h
+++ b/src/codec/settings.h
@@ -54,6 +54,7 @@
 	uint32_t word_period_ms;    /**< of the target's heartbeats */
 	uint32_t flow_life_s;	    /**< a flow idle for longer is forgotten */
 	uint32_t platform_calls;    /**< budget of this process, a second */
+	uint32_t capacity;	    /**< thousandths of a core */
 	uint32_t log_lines;	    /**< budget of this process, a second */
 };
 
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -12,6 +12,9 @@
 #define TELL_MS 400
 #define TELL_EACH_MS 25
 #define TELL_MAX_MS 3000
+/** At most this in the first seconds, while balancers are still found, ms. */
+#define TELL_YOUNG_MS 250
+#define YOUNG_MS 3000
 /** Time over which load is smoothed, ms: some tens of requests. */
 #define SMOOTH_MS 1000
 /** A target returns a packet within a fraction of this, ms: once it has sent
@@ -66,10 +69,12 @@
 
 /* Grows with the number of balancers, so that their share of it does not. */
 static uint64_t
-period_ms(const struct fa *fa)
+period_ms(const struct fa *fa, uint64_t now)
 {
 	uint64_t ms = TELL_MS + TELL_EACH_MS * peers_count(&fa->peers);
 
+	if (!passed(fa->target.began_ns, YOUNG_MS, now) && ms > TELL_YOUNG_MS)
+		return TELL_YOUNG_MS;
 	return ms < TELL_MAX_MS ? ms : TELL_MAX_MS;
 }
 
@@ -487,7 +492,8 @@
 	a->busy_milli = (uint32_t)fa->busy_milli;
 	a->waiting = fa->flows.waiting;
 	a->flows = fa->flows.open;
-	a->period_ms = (uint32_t)period_ms(fa);
+	/* What follows the first seconds is told, lest silence be seen then. */
+	a->period_ms = (uint32_t)period_ms(fa, now + YOUNG_MS * NS_PER_MS);
 	/* A digest that fits nobody brings a list, and fresh ages with it. */
 	a->gone = fa->leaving_ns != 0 && target_ended(&fa->target, now);
 	a->peers = ask ? 0 : peers_digest(&fa->peers);
@@ -519,8 +525,9 @@
 		on_peers(fa, &m->u.peers, now);
 		return;
 	case FLOW_MSG_BALANCER:
-		if (peers_note(&fa->peers, m->from, now))
-			tell(fa, m->from, false, now);
+		/* It greets agents that it does not hear. */
+		peers_note(&fa->peers, m->from, now);
+		tell(fa, m->from, false, now);
 		return;
 	case FLOW_MSG_AGENT:
 	case FLOW_MSG_FOUND:
@@ -636,7 +643,8 @@
 		fa->told = state;
 		fa->tell_again = TELL_TWICE;
 	}
-	if (fa->tell_again > 0 || passed(fa->told_ns, period_ms(fa), now)) {
+	if (fa->tell_again > 0 ||
+	    passed(fa->told_ns, period_ms(fa, now), now)) {
 		fa->tell_again -= fa->tell_again > 0 ? 1 : 0;
 		tell_all(fa, now);
 	}
--- a/src/flow/agents.c
+++ b/src/flow/agents.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 
 #include <stdlib.h>
+#include <xxhash.h>
 
 struct agent_view *
 agents_find(const struct agents *a, uint64_t id)
@@ -185,14 +186,43 @@
 }
 
 size_t
-agents_recent(const struct agents *a, uint64_t now)
+agents_recent(const struct agents *a, uint64_t now, uint64_t *digest)
 {
 	size_t recent = 0;
 	struct agent_view *v, *next;
 
+	*digest = 0;
 	HASH_ITER(hh, a->table, v, next)
 	{
-		recent += agents_awaited(v, now) ? 1 : 0;
+		if (!agents_awaited(v, now))
+			continue;
+		recent++;
+		*digest ^= XXH3_64bits(&v->id, sizeof(v->id));
 	}
 	return recent;
 }
+
+void
+agents_list(const struct agents *a, uint64_t now, struct msg_peers *out)
+{
+	size_t known = HASH_COUNT(a->table);
+	size_t skip = 0;
+	struct agent_view *v, *next;
+
+	out->agents = true;
+	out->count = 0;
+	if (known > FLOW_PEERS_MAX)
+		skip = (size_t)(now / NS_PER_MS) % (known - FLOW_PEERS_MAX + 1);
+	HASH_ITER(hh, a->table, v, next)
+	{
+		if (skip > 0) {
+			skip--;
+			continue;
+		}
+		if (out->count == FLOW_PEERS_MAX)
+			break;
+		if (agents_awaited(v, now))
+			out->peers[out->count++] = (struct msg_peer){
+			    v->id, (uint32_t)((now - v->heard_ns) / NS_PER_MS)};
+	}
+}
--- a/src/flow/agents.h
+++ b/src/flow/agents.h
@@ -77,7 +77,12 @@
 size_t agents_live(const struct agents *a, uint64_t now);
 /** Whether a silent agent is still waited for, AGENT_RETURN_MS. */
 bool agents_awaited(const struct agent_view *v, uint64_t now);
-/** Agents that are not silent, or waited for. */
-size_t agents_recent(const struct agents *a, uint64_t now);
+/**
+ * Agents that are not silent, or waited for.
+ * @param digest of who they are; the order does not matter
+ */
+size_t agents_recent(const struct agents *a, uint64_t now, uint64_t *digest);
+/** Write a list of them, from a place that moves on when it is too long. */
+void agents_list(const struct agents *a, uint64_t now, struct msg_peers *out);
 
 #endif
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -7,6 +7,9 @@
 
 /** Heartbeat to balancers of the own failure domain, ms. */
 #define GREET_MS 500
+/** The same in the first seconds, while it looks for the others, ms. */
+#define GREET_YOUNG_MS 150
+#define YOUNG_MS 3000
 /** Heartbeat to some of the others, ms. */
 #define GREET_FAR_MS 1000
 /** Others that get a heartbeat in one round. */
@@ -31,6 +34,11 @@
 #define WATCHERS 2
 /** A balancer not heard for this does not count as a watcher, ms. */
 #define WATCHER_LOST_MS 1800
+/** Questions a second for each thousandth of a core: with its answer one
+ * takes some 20 microseconds, so all of them take a third of it. */
+#define ASK_PER_MILLI 16
+/** Questions are saved up for this, ms. */
+#define ASK_SAVED_MS 1000
 /** Openings and searches at one time. */
 #define OPENINGS_MAX 4096
 #define SEARCHES_MAX 1024
@@ -91,7 +99,8 @@
 static bool
 certain(const struct fb *fb, uint64_t now)
 {
-	size_t known = agents_recent(&fb->agents, now);
+	uint64_t digest;
+	size_t known = agents_recent(&fb->agents, now, &digest);
 	size_t compared = 0;
 	struct peer *e, *next;
 
@@ -153,7 +162,9 @@
 	    str_of(fb->setup.domain));
 	m.u.balancer.version = fb->routes.version;
 	m.u.balancer.peers = peers_digest(&fb->peers);
-	m.u.balancer.agents = (uint32_t)agents_recent(&fb->agents, now);
+	m.u.balancer.agents =
+	    (uint32_t)agents_recent(&fb->agents, now, &m.u.balancer.agent_set);
+	m.u.balancer.capacity = fb->setup.capacity;
 	m.u.balancer.leaving = fb->leaving;
 	send(fb, to, &m);
 }
@@ -369,6 +380,28 @@
 		send_questions(fb, v);
 }
 
+/*
+ * Asking every agent is put off when too much was asked already: a search that
+ * waits costs its caller some time, and a balancer that has no time left
+ * answers nobody.
+ */
+static bool
+may_ask(struct fb *fb, const struct search *e)
+{
+	return e->tier < SEARCH_ALL || fb->ask_credit_milli > 0;
+}
+
+static void
+earn_credit(struct fb *fb, uint64_t passed_ns)
+{
+	int64_t per_s = (int64_t)fb->setup.capacity * ASK_PER_MILLI;
+	int64_t most = per_s * ASK_SAVED_MS;
+
+	fb->ask_credit_milli += per_s * (int64_t)(passed_ns / NS_PER_MS);
+	if (fb->ask_credit_milli > most)
+		fb->ask_credit_milli = most;
+}
+
 static void
 ask_next(struct fb *fb, struct search *e, uint64_t now)
 {
@@ -379,6 +412,9 @@
 
 	search_next(e, &field, now, &first);
 	ctr_add(fb->ctr, CTR_SEARCH_ASKED, e->asked_count - first);
+	if (e->tier == SEARCH_TIERS)
+		fb->ask_credit_milli -=
+		    (int64_t)(e->asked_count - first) * 1000;
 	for (size_t i = first; i < e->asked_count; i++)
 		gather(fb, e, e->asked[i].agent);
 }
@@ -393,11 +429,12 @@
 	char caller[ADDR_TEXT_MAX];
 	enum search_verdict verdict;
 
-	if (search_due(e, now))
+	while (search_due(e, now, fb->lag_ms) && may_ask(fb, e))
 		ask_next(fb, e, now);
-	verdict = search_verdict(e, now);
+	verdict = search_verdict(e, now, fb->lag_ms);
 	if (verdict == SEARCH_NOBODY && !certain(fb, now))
-		verdict = search_expired(e, now) ? SEARCH_UNKNOWN : SEARCH_OPEN;
+		verdict = search_expired(e, now, fb->lag_ms) ? SEARCH_UNKNOWN
+							     : SEARCH_OPEN;
 	if (verdict == SEARCH_OPEN)
 		return;
 	event("search_ended", "s:s, s:s, s:i, s:i, s:b, s:I", "caller",
@@ -434,6 +471,7 @@
     uint64_t now)
 {
 	struct search *e = searches_find(&fb->searches, &found->flow);
+	char caller[ADDR_TEXT_MAX], agent[ADDR_TEXT_MAX];
 
 	if (found->where == FLOW_HERE) {
 		hint_set(fb->hints, &found->flow, v->id);
@@ -442,6 +480,11 @@
 	if (e == NULL)
 		return;
 	if (found->where == FLOW_HERE) {
+		event("search_found", "s:s, s:s, s:i, s:i, s:I", "caller",
+		    addr_text(addr_unpack(found->flow.caller), caller), "agent",
+		    addr_text(addr_unpack(v->id), agent), "asked",
+		    (int)e->asked_count, "held", (int)e->held_count, "took_ms",
+		    (json_int_t)((now - e->began_ns) / NS_PER_MS));
 		for (size_t i = 0; i < e->held_count; i++)
 			forward(fb, v,
 			    (struct str){e->held[i]->bytes, e->held[i]->len},
@@ -550,6 +593,16 @@
 	send(fb, to, &m);
 }
 
+static void
+send_agents(struct fb *fb, uint64_t to, uint64_t now)
+{
+	struct flow_msg m = {.kind = FLOW_MSG_PEERS};
+
+	agents_list(&fb->agents, now, &m.u.peers);
+	if (m.u.peers.count > 0)
+		send(fb, to, &m);
+}
+
 static void
 on_agent(struct fb *fb, const struct flow_msg *m, uint64_t now)
 {
@@ -584,6 +637,7 @@
 on_balancer(struct fb *fb, const struct flow_msg *m, uint64_t now)
 {
 	char peer[ADDR_TEXT_MAX];
+	uint64_t digest;
 
 	if (peers_heard(&fb->peers, m->from, &m->u.balancer, now)) {
 		event("balancer", "s:s, s:s", "balancer",
@@ -593,11 +647,28 @@
 	}
 	if (m->u.balancer.peers != peers_digest(&fb->peers))
 		send_list(fb, m->from, now);
+	agents_recent(&fb->agents, now, &digest);
+	if (m->u.balancer.agent_set != digest)
+		send_agents(fb, m->from, now);
+}
+
+/* Agents that another balancer hears are asked to tell this one too. */
+static void
+on_agents(struct fb *fb, const struct msg_peers *list, uint64_t now)
+{
+	for (uint32_t i = 0; i < list->count; i++) {
+		if (agents_find(&fb->agents, list->peers[i].id) == NULL)
+			greet(fb, list->peers[i].id, now);
+	}
 }
 
 static void
 on_peers(struct fb *fb, const struct msg_peers *list, uint64_t now)
 {
+	if (list->agents) {
+		on_agents(fb, list, now);
+		return;
+	}
 	for (uint32_t i = 0; i < list->count; i++) {
 		uint64_t age = list->peers[i].age_ms * NS_PER_MS;
 
@@ -801,6 +872,16 @@
 	}
 }
 
+/* How late ticks come; halves with each tick that is on time. */
+static void
+note_lag(struct fb *fb, uint64_t now)
+{
+	uint64_t gap_ms = (now - fb->ticked_ns) / NS_PER_MS;
+	uint64_t late_ms = gap_ms > FB_TICK_MS ? gap_ms - FB_TICK_MS : 0;
+
+	fb->lag_ms = late_ms > fb->lag_ms / 2 ? late_ms : fb->lag_ms / 2;
+}
+
 void
 fb_paused(struct fb *fb, uint64_t gap_ms, uint64_t now)
 {
@@ -812,12 +893,16 @@
 void
 fb_tick(struct fb *fb, uint64_t now)
 {
+	note_lag(fb, now);
+	earn_credit(fb, now - fb->ticked_ns);
 	if (passed(fb->ticked_ns, GAP_MS, now))
 		fb_paused(fb, (now - fb->ticked_ns) / NS_PER_MS, now);
 	fb->ticked_ns = now;
 	tick_openings(fb, now);
 	tick_searches(fb, now);
-	if (passed(fb->greeted_ns, GREET_MS, now)) {
+	if (passed(fb->greeted_ns,
+		passed(fb->began_ns, YOUNG_MS, now) ? GREET_MS : GREET_YOUNG_MS,
+		now)) {
 		fb->greeted_ns = now;
 		greet_seeds(fb, now);
 		greet_near(fb, now);
--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -34,7 +34,8 @@
 	const uint64_t *seeds; /**< ids of balancers to begin with */
 	size_t seed_count;
 	size_t hint_capacity;
-	uint64_t seed; /**< of the random numbers */
+	uint32_t capacity; /**< thousandths of a core that it may use */
+	uint64_t seed;	   /**< of the random numbers */
 };
 
 /** A balancer. */
@@ -51,7 +52,10 @@
 	struct searches searches;
 	struct rng rng;
 	uint64_t sequence;
-	bool questions; /**< some are gathered */
+	/** Questions to all agents that are allowed, times 1000. */
+	int64_t ask_credit_milli;
+	uint64_t lag_ms; /**< how late this process runs */
+	bool questions;	 /**< some are gathered */
 	uint64_t began_ns;
 	uint64_t first_period_ms; /**< of the first agent's heartbeats */
 	uint64_t first_agent_ns;  /**< when the first agent was heard, or 0 */
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -54,9 +54,11 @@
 /** A balancer's heartbeat. */
 struct msg_balancer {
 	char domain[FLOW_NAME_MAX];
-	uint64_t version; /**< configuration in force there */
-	uint64_t peers;	  /**< digest of the balancers it knows */
-	uint32_t agents;  /**< agents that it has heard lately */
+	uint64_t version;   /**< configuration in force there */
+	uint64_t peers;	    /**< digest of the balancers it knows */
+	uint32_t agents;    /**< agents that it has heard lately */
+	uint64_t agent_set; /**< digest of them */
+	uint32_t capacity;  /**< thousandths of a core that it may use */
 	bool leaving;
 };
 
@@ -66,8 +68,9 @@
 	uint32_t age_ms; /**< since it was heard of */
 };
 
-/** A list of balancers. */
+/** A list of balancers, or of agents. */
 struct msg_peers {
+	bool agents; /**< of agents that the sender has heard lately */
 	uint32_t count;
 	struct msg_peer peers[FLOW_PEERS_MAX];
 };
--- a/src/flow/peers.c
+++ b/src/flow/peers.c
@@ -59,6 +59,7 @@
 	e->version = b->version;
 	e->leaving = b->leaving;
 	e->agents = b->agents;
+	e->capacity = b->capacity;
 	str_copy(e->domain, sizeof(e->domain), str_of(b->domain));
 	return is_new;
 }
--- a/src/flow/peers.h
+++ b/src/flow/peers.h
@@ -21,7 +21,8 @@
 	uint64_t direct_ns; /**< from it, 0 for never */
 	uint64_t version;   /**< configuration in force there */
 	char domain[FLOW_NAME_MAX];
-	uint32_t agents; /**< that it has heard lately */
+	uint32_t agents;   /**< that it has heard lately */
+	uint32_t capacity; /**< thousandths of a core */
 	bool leaving;
 	UT_hash_handle hh;
 };
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -132,12 +132,11 @@
 {
 	*first = e->asked_count;
 	e->complete = true;
-	while (e->tier < SEARCH_ALL && e->asked_count == *first) {
+	if (e->tier < SEARCH_ALL) {
 		add_candidates(e, field, e->tier == SEARCH_NEAR, now);
 		e->tier++;
-	}
-	/* Agents that came meanwhile are asked when it is due again. */
-	if (e->asked_count == *first) {
+	} else {
+		/* Agents that came meanwhile are asked when it is due again. */
 		add_all(e, field, now);
 		e->tier = SEARCH_TIERS;
 	}
@@ -145,11 +144,12 @@
 }
 
 bool
-search_due(const struct search *e, uint64_t now)
+search_due(const struct search *e, uint64_t now, uint64_t lag_ms)
 {
 	uint64_t wait_ms =
 	    e->trying == e->pending ? SEARCH_TRY_MS : SEARCH_NEXT_MS;
 
+	wait_ms += SEARCH_LAG_TIMES * lag_ms;
 	if (e->tier < SEARCH_TIERS && e->pending == 0)
 		return true;
 	return now >= e->asked_ns + wait_ms * NS_PER_MS;
@@ -192,16 +192,18 @@
 }
 
 bool
-search_expired(const struct search *e, uint64_t now)
+search_expired(const struct search *e, uint64_t now, uint64_t lag_ms)
 {
-	return now > e->began_ns + SEARCH_LIFE_MS * NS_PER_MS;
+	uint64_t life_ms = SEARCH_LIFE_MS + SEARCH_LAG_TIMES * lag_ms;
+
+	return now > e->began_ns + life_ms * NS_PER_MS;
 }
 
 enum search_verdict
-search_verdict(const struct search *e, uint64_t now)
+search_verdict(const struct search *e, uint64_t now, uint64_t lag_ms)
 {
 	if (e->tier == SEARCH_TIERS && e->asked_count > 0 && e->pending == 0 &&
 	    e->complete)
 		return SEARCH_NOBODY;
-	return search_expired(e, now) ? SEARCH_UNKNOWN : SEARCH_OPEN;
+	return search_expired(e, now, lag_ms) ? SEARCH_UNKNOWN : SEARCH_OPEN;
 }
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -19,6 +19,9 @@
 /** While agents only try the packet at their targets, the next ones wait for
  * longer, ms: a target that holds the flow shows it within some tens. */
 #define SEARCH_TRY_MS 150
+/** Answers are waited for longer by this many times the lag of the process:
+ * a question, its answer and the packets before them each wait once. */
+#define SEARCH_LAG_TIMES 3
 /** A search ends after this, ms: the caller's next copy begins another. */
 #define SEARCH_LIFE_MS 400
 
@@ -94,16 +97,20 @@
  */
 void search_next(struct search *e, const struct search_field *field,
     uint64_t now, size_t *first);
-/** Whether the next tier is due. */
-bool search_due(const struct search *e, uint64_t now);
+/**
+ * Whether the next tier is due.
+ * @param lag_ms how late this process runs: answers may lie unread
+ */
+bool search_due(const struct search *e, uint64_t now, uint64_t lag_ms);
 /** Hold a packet of the flow; one too many is dropped. */
 bool search_hold(struct search *e, const struct flow_packet *p);
 /** Take in an agent's denial or doubt. */
 void search_answer(struct search *e, uint64_t agent, enum flow_where where);
-/** Whether a search has taken SEARCH_LIFE_MS. */
-bool search_expired(const struct search *e, uint64_t now);
+/** Whether a search has taken SEARCH_LIFE_MS, and what the lag adds. */
+bool search_expired(const struct search *e, uint64_t now, uint64_t lag_ms);
 /** What is known so far. */
-enum search_verdict search_verdict(const struct search *e, uint64_t now);
+enum search_verdict search_verdict(
+    const struct search *e, uint64_t now, uint64_t lag_ms);
 /** End a search. */
 void searches_drop(struct searches *s, struct search *e);
 
--- a/src/task/flow_balancer_task.c
+++ b/src/task/flow_balancer_task.c
@@ -323,6 +323,7 @@
 	    .seeds = n->seeds,
 	    .seed_count = n->seed_count,
 	    .hint_capacity = n->set.hint_capacity,
+	    .capacity = n->set.capacity,
 	    .seed = n->incarnation};
 	struct edge_member self_entry = {.id = n->id};
 
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -21,6 +21,7 @@
     {"found", do_found},
     {"away", do_away},
     {"wait", do_wait},
+    {"late", do_late},
     {"paused", do_paused},
     {"ready", do_ready},
     {"leave", do_leave},
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -42,6 +42,7 @@
 void do_found(const char *arg, const char *body);
 void do_away(const char *arg, const char *body);
 void do_wait(const char *arg, const char *body);
+void do_late(const char *arg, const char *body);
 void do_paused(const char *arg, const char *body);
 void do_ready(const char *arg, const char *body);
 void do_leave(const char *arg, const char *body);
--- a/tests/unit/script_flow_balancer.c
+++ b/tests/unit/script_flow_balancer.c
@@ -45,7 +45,7 @@
 
 /* ---- commands ---- */
 
-/* bal NAME DOMAIN */
+/* bal NAME DOMAIN [THOUSANDTHS-OF-A-CORE] */
 void
 do_bal(const char *arg, const char *body)
 {
@@ -63,6 +63,7 @@
 	running = true;
 	counters = (struct counters){0};
 	setup.id = world_id(w.word[0]);
+	setup.capacity = w.count > 2 ? words_number(&w, 2) : 1000;
 	snprintf(domain, sizeof(domain), "%s", w.word[1]);
 	fb_init(&fb, &setup, &out, NULL, &counters, script_now_ns);
 }
@@ -323,6 +324,16 @@
 	}
 }
 
+/* late MS: one tick that comes so late */
+void
+do_late(const char *arg, const char *body)
+{
+	(void)body;
+	script_now_ns += strtoul(arg, NULL, 10) * NS_PER_MS;
+	fb_tick(&fb, script_now_ns);
+	fb_flush(&fb);
+}
+
 /* paused MS */
 void
 do_paused(const char *arg, const char *body)
