balancer: routes are passed on in a compact form; the larger ones watch

Change: balancers pass on a protobuf of services and shares; those with the larger share of a core watch; a small one looks at its peers first.

--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -746,6 +746,15 @@
 	return true;
 }
 
+/* The larger ones watch, since the platform's text takes time to read. */
+static bool
+watches_before(const struct peer *e, const struct fb_setup *self)
+{
+	if (e->capacity != self->capacity)
+		return e->capacity > self->capacity;
+	return e->id < self->id;
+}
+
 bool
 fb_watches(const struct fb *fb, uint64_t now)
 {
@@ -754,8 +763,9 @@
 
 	HASH_ITER(hh, fb->peers.table, e, next)
 	{
-		if (e->id < fb->setup.id && heard_lately(e, now) &&
-		    !e->leaving && strcmp(e->domain, fb->setup.domain) == 0)
+		if (heard_lately(e, now) && !e->leaving &&
+		    strcmp(e->domain, fb->setup.domain) == 0 &&
+		    watches_before(e, &fb->setup))
 			before++;
 	}
 	return before < WATCHERS;
--- a/src/flow/edge.h
+++ b/src/flow/edge.h
@@ -32,10 +32,9 @@
 	char after[FLOW_NAME_MAX]; /**< behind this name */
 };
 
-/** A configuration as the store or another balancer gave it. */
+/** A configuration as the store gave it. */
 struct edge_config {
 	struct routes routes; /**< version 0 when the answer held none */
-	char *text;	      /**< the object, for other balancers; owned */
 	uint64_t revision;    /**< to watch from; 0 when not told */
 };
 
@@ -72,8 +71,6 @@
 	    uint64_t revision, unsigned wait_ms, char path[EDGE_PATH_MAX]);
 	/** Decode the answer to config_path() or watch_path(). */
 	struct status (*read_config)(struct str body, struct edge_config *out);
-	/** Decode the text that another balancer passed on. */
-	struct status (*read_passed)(struct str body, struct edge_config *out);
 
 	/** Path of all balancers' entries, or of those behind a name. */
 	void (*members_path)(const char *after, char path[EDGE_PATH_MAX]);
--- a/src/task/flow_balancer_task.c
+++ b/src/task/flow_balancer_task.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/event.h"
+#include "codec/routes_wire.h"
 #include "flow/balancer.h"
 #include "task/flow_node.h"
 
@@ -20,6 +21,10 @@
 #define QUIET_MS 1200
 /** Entries of balancers that are gone are looked for this often, ms. */
 #define CLEAN_MS 60000
+/** A balancer with less than this share of a core is small, thousandths. */
+#define SMALL_MILLI 50
+/** It waits for this that another passes the routes on, ms. */
+#define PATIENT_MS 300
 /** No balancer was found within this: the store's entries are read, ms. */
 #define LONELY_MS 800
 
@@ -28,7 +33,8 @@
 	struct fb fb;
 	struct store *store;
 	struct fetch *passing; /**< configuration on its way from a peer */
-	char *text;	       /**< configuration in force, to pass on */
+	uint8_t *passed_on;    /**< routes in force, encoded; NULL for none */
+	size_t passed_on_len;
 	uint64_t passed_ns;
 	uint64_t packet_ns; /**< latest caller's packet */
 	uint64_t leaving_ns;
@@ -36,6 +42,7 @@
 	uint64_t began_ns;
 	bool ready;
 	bool listed;
+	bool reading; /**< the store was asked for the configuration */
 };
 
 /* ---- packets ---- */
@@ -90,29 +97,36 @@
 
 /* ---- configuration ---- */
 
-/* Put a configuration in force, and keep its text if it is a newer one. */
 static void
-apply(struct task_state *t, struct edge_config *c)
+apply(struct task_state *t, struct routes *routes)
 {
-	if (!fb_routes(&t->fb, &c->routes, flow_node_now()))
+	if (!fb_routes(&t->fb, routes, flow_node_now()))
 		return;
-	free(t->text);
-	t->text = c->text;
-	c->text = NULL;
+	free(t->passed_on);
+	t->passed_on = NULL;
 }
 
 static void
 on_config(void *ctx, struct edge_config *c)
 {
-	apply(ctx, c);
+	apply(ctx, &c->routes);
+}
+
+/* Encoded when the first one asks for it. */
+static struct str
+pass_on(struct task_state *t)
+{
+	if (t->passed_on == NULL)
+		t->passed_on =
+		    routes_wire_encode(&t->fb.routes, &t->passed_on_len);
+	return (struct str){(char *)t->passed_on, t->passed_on_len};
 }
 
 static void
 on_passed(void *ctx, const struct fetch_result *r)
 {
 	struct task_state *t = ctx;
-	struct edge_config c;
-	struct status st;
+	struct routes routes;
 
 	t->passing = NULL;
 	t->passed_ns = flow_node_now();
@@ -121,15 +135,13 @@
 		    "error", curl_easy_strerror(r->curl));
 		return;
 	}
-	st = t->node.edge->read_passed((struct str){r->body, r->len}, &c);
-	if (st.code != STATUS_OK) {
+	if (!routes_wire_decode((struct str){r->body, r->len}, &routes)) {
 		ctr_inc(&t->node.ctr, CTR_CONFIG_BAD);
-		event("configuration_malformed", "s:s", "error", st.message);
+		event("configuration_malformed", "s:s", "error",
+		    "what a balancer passed on");
 		return;
 	}
-	apply(t, &c);
-	routes_clear(&c.routes);
-	free(c.text);
+	apply(t, &routes);
 	t->passed_ns = 0;
 }
 
@@ -190,9 +202,10 @@
 	if (str_is(call->path, t->node.edge->ready_path)) {
 		answer->status = fb_ready(&t->fb, flow_node_now()) ? 200 : 503;
 		answer->body = str_of("{}");
-	} else if (str_is(call->path, PASS_PATH) && t->text != NULL) {
+	} else if (str_is(call->path, PASS_PATH) && t->fb.routes.version != 0) {
 		answer->status = 200;
-		answer->body = str_of(t->text);
+		answer->type = "application/x-protobuf";
+		answer->body = pass_on(t);
 	}
 }
 
@@ -255,6 +268,22 @@
 	t->ready = ready;
 }
 
+/*
+ * The platform's text costs a small balancer much of its time: it looks first
+ * whether another one passes the routes on.
+ */
+static void
+read_first(struct task_state *t, uint64_t now)
+{
+	bool is_small = t->node.set.capacity < SMALL_MILLI;
+
+	if (t->reading || t->fb.routes.version != 0 ||
+	    (is_small && now < t->began_ns + PATIENT_MS * NS_PER_MS))
+		return;
+	t->reading = true;
+	store_read_config(t->store);
+}
+
 static void
 look_around(struct task_state *t, uint64_t now)
 {
@@ -283,7 +312,9 @@
 
 	fb_tick(&t->fb, now);
 	fetch_newer(t, now);
-	store_watch_config(t->store, !t->fb.leaving && fb_watches(&t->fb, now));
+	read_first(t, now);
+	store_watch_config(
+	    t->store, t->reading && !t->fb.leaving && fb_watches(&t->fb, now));
 	look_around(t, now);
 	clean(t, now);
 	watch_ready(t, now);
@@ -332,7 +363,6 @@
 	t->began_ns = flow_node_now();
 	fb_init(&t->fb, &setup, &out, t, &n->ctr, t->began_ns);
 	t->store = flow_node_store(n, &store_events, t);
-	store_read_config(t->store);
 	str_copy(self_entry.name, sizeof(self_entry.name), str_of(n->set.name));
 	store_announce(t->store, &self_entry, n->set.domain);
 	return st;
@@ -372,7 +402,7 @@
 	sup_add(&t->node.sup, "flows", start, stop, t);
 	rc = sup_run(&t->node.sup);
 	fb_clear(&t->fb);
-	free(t->text);
+	free(t->passed_on);
 	free(t);
 	return rc;
 }
--- a/src/task/store.c
+++ b/src/task/store.c
@@ -195,7 +195,6 @@
 		run_after(e, 0);
 	}
 	routes_clear(&c.routes);
-	free(c.text);
 }
 
 static void
--- a/tests/unit/script_flow_balancer.c
+++ b/tests/unit/script_flow_balancer.c
@@ -161,7 +161,7 @@
 	fb_message(&fb, &m, script_now_ns);
 }
 
-/* peer BALANCER DOMAIN VERSION AGENTS */
+/* peer BALANCER DOMAIN VERSION AGENTS [CAPACITY] */
 void
 do_peer(const char *arg, const char *body)
 {
@@ -174,6 +174,8 @@
 	snprintf(m.u.balancer.domain, FLOW_NAME_MAX, "%s", w.word[1]);
 	m.u.balancer.version = words_number(&w, 2);
 	m.u.balancer.agents = words_number(&w, 3);
+	m.u.balancer.capacity =
+	    w.count > 4 ? words_number(&w, 4) : fb.setup.capacity;
 	m.u.balancer.peers = peers_digest(&fb.peers);
 	fb_message(&fb, &m, script_now_ns);
 	say("  watches %s, newer at %s\n",
--- a/tests/unit/script_platform.c
+++ b/tests/unit/script_platform.c
@@ -2,6 +2,7 @@
 
 #include "base/rng.h"
 #include "codec/flow_wire.h"
+#include "codec/routes_wire.h"
 #include "flow_world.h"
 #include "runner.h"
 #include "script.h"
@@ -106,7 +107,9 @@
 do_config(const char *arg, const char *body)
 {
 	struct edge_config c;
-	struct edge_config again;
+	struct routes again;
+	uint8_t *passed;
+	size_t len;
 	struct status st = platform_edge.read_config(str_of(body), &c);
 	struct flow_route *r, *next;
 
@@ -123,16 +126,18 @@
 	{
 		say_route(r);
 	}
-	if (c.text != NULL) {
-		st = platform_edge.read_passed(str_of(c.text), &again);
-		say("  passed on: version %llu, %u routes\n",
-		    (unsigned long long)again.routes.version,
-		    HASH_COUNT(again.routes.table));
-		routes_clear(&again.routes);
-		free(again.text);
+	passed = routes_wire_encode(&c.routes, &len);
+	if (routes_wire_decode((struct str){(char *)passed, len}, &again))
+		say("  passed on in %zu bytes: version %llu, %u routes\n", len,
+		    (unsigned long long)again.version, HASH_COUNT(again.table));
+	routes_clear(&again);
+	/* What is cut is refused whole, or means something else: no crash. */
+	for (size_t cut = 0; cut < len; cut++) {
+		routes_wire_decode((struct str){(char *)passed, cut}, &again);
+		routes_clear(&again);
 	}
+	free(passed);
 	routes_clear(&c.routes);
-	free(c.text);
 }
 
 /* members << the store's answer */
