--- a/src/codec/flow.pb-c.c
+++ b/src/codec/flow.pb-c.c
@@ -799,7 +799,7 @@
   (ProtobufCMessageInit) pwf__balancer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__peer__field_descriptors[2] =
+static const ProtobufCFieldDescriptor pwf__peer__field_descriptors[3] =
 {
   {
     "id",
@@ -825,15 +825,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "domain",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Peer, domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__peer__field_indices_by_name[] = {
   1,   /* field[1] = age_ms */
+  2,   /* field[2] = domain */
   0,   /* field[0] = id */
 };
 static const ProtobufCIntRange pwf__peer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor pwf__peer__descriptor =
 {
@@ -843,7 +856,7 @@
   "Pwf__Peer",
   "pwf",
   sizeof(Pwf__Peer),
-  2,
+  3,
   pwf__peer__field_descriptors,
   pwf__peer__field_indices_by_name,
   1,  pwf__peer__number_ranges,
--- a/src/codec/flow.pb-c.h
+++ b/src/codec/flow.pb-c.h
@@ -75,10 +75,11 @@
   ProtobufCMessage base;
   uint64_t id;
   uint32_t age_ms;
+  uint32_t domain;
 };
 #define PWF__PEER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__peer__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Pwf__Peers
--- a/src/codec/flow_wire.c
+++ b/src/codec/flow_wire.c
@@ -82,6 +82,7 @@
 		pwf__peer__init(&items[i]);
 		items[i].id = list->peers[i].id;
 		items[i].age_ms = list->peers[i].age_ms;
+		items[i].domain = list->peers[i].domain;
 		refs[i] = &items[i];
 	}
 	peers.agents = list->agents;
@@ -218,8 +219,8 @@
 	out->agents = list->agents;
 	out->count = (uint32_t)list->n_peers;
 	for (size_t i = 0; i < list->n_peers; i++)
-		out->peers[i] = (struct msg_peer){
-		    list->peers[i]->id, list->peers[i]->age_ms};
+		out->peers[i] = (struct msg_peer){list->peers[i]->id,
+		    list->peers[i]->age_ms, list->peers[i]->domain};
 	return true;
 }
 
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -12,6 +12,9 @@
 #define TELL_MS 400
 #define TELL_EACH_MS 25
 #define TELL_MAX_MS 3000
+/** Balancers of other failure domains get every such heartbeat: bytes between
+ * domains cost, and they turn to this agent only when their own are full. */
+#define FAR_ROUNDS 3
 /** At most this in the first seconds, while balancers are still found, ms. */
 #define TELL_YOUNG_MS 250
 #define YOUNG_MS 3000
@@ -48,10 +51,11 @@
 	fa->target.address = setup->target;
 	fa->target.period_ms = setup->word_period_ms;
 	fa->target.began_ns = now;
+	fa->peers.domain_tag = flow_service_tag(str_of(setup->domain));
 	fa->busy_ns = now;
 	fa->ticked_ns = now;
 	for (size_t i = 0; i < setup->seed_count; i++)
-		peers_note(&fa->peers, setup->seeds[i], now);
+		peers_note(&fa->peers, setup->seeds[i], now, 0);
 }
 
 void
@@ -479,6 +483,7 @@
 static void
 tell(struct fa *fa, uint64_t to, bool ask, uint64_t now)
 {
+	const struct peer *e = peers_find(&fa->peers, to);
 	struct flow_msg m = {.kind = FLOW_MSG_AGENT};
 	struct msg_agent *a = &m.u.agent;
 	uint64_t cold = fa->target.cold_until_ns;
@@ -494,6 +499,8 @@
 	a->flows = fa->flows.open;
 	/* What follows the first seconds is told, lest silence be seen then. */
 	a->period_ms = (uint32_t)period_ms(fa, now + YOUNG_MS * NS_PER_MS);
+	if (e != NULL && !peers_near(&fa->peers, e))
+		a->period_ms *= FAR_ROUNDS;
 	/* A digest that fits nobody brings a list, and fresh ages with it. */
 	a->gone = fa->leaving_ns != 0 && target_ended(&fa->target, now);
 	a->peers = ask ? 0 : peers_digest(&fa->peers);
@@ -508,7 +515,8 @@
 
 		if (age > now || age > PEER_FORGET_MS * NS_PER_MS)
 			continue;
-		if (peers_note(&fa->peers, list->peers[i].id, now - age))
+		if (peers_note(&fa->peers, list->peers[i].id, now - age,
+			list->peers[i].domain))
 			tell(fa, list->peers[i].id, false, now);
 	}
 }
@@ -521,12 +529,13 @@
 		on_find(fa, m, now);
 		return;
 	case FLOW_MSG_PEERS:
-		peers_note(&fa->peers, m->from, now);
+		peers_note(&fa->peers, m->from, now, 0);
 		on_peers(fa, &m->u.peers, now);
 		return;
 	case FLOW_MSG_BALANCER:
 		/* It greets agents that it does not hear. */
-		peers_note(&fa->peers, m->from, now);
+		peers_note(&fa->peers, m->from, now,
+		    flow_service_tag(str_of(m->u.balancer.domain)));
 		tell(fa, m->from, false, now);
 		return;
 	case FLOW_MSG_AGENT:
@@ -600,7 +609,7 @@
 }
 
 static void
-tell_all(struct fa *fa, uint64_t now)
+tell_all(struct fa *fa, bool far, uint64_t now)
 {
 	size_t known = peers_count(&fa->peers);
 	/* One of them is asked for its list, another one each time. */
@@ -616,7 +625,10 @@
 	smooth(fa, now);
 	HASH_ITER(hh, fa->peers.table, e, next)
 	{
-		tell(fa, e->id, at++ == whom, now);
+		bool ask = at++ == whom;
+
+		if (far || ask || peers_near(&fa->peers, e))
+			tell(fa, e->id, ask, now);
 	}
 }
 
@@ -624,7 +636,7 @@
 note_seeds(struct fa *fa, uint64_t now)
 {
 	for (size_t i = 0; i < fa->setup.seed_count; i++)
-		peers_note(&fa->peers, fa->setup.seeds[i], now);
+		peers_note(&fa->peers, fa->setup.seeds[i], now, 0);
 }
 
 static void
@@ -645,8 +657,12 @@
 	}
 	if (fa->tell_again > 0 ||
 	    passed(fa->told_ns, period_ms(fa, now), now)) {
+		bool young = !passed(fa->target.began_ns, YOUNG_MS, now);
+		bool far = fa->tell_again > 0 || young ||
+			   fa->rounds++ % FAR_ROUNDS == 0;
+
 		fa->tell_again -= fa->tell_again > 0 ? 1 : 0;
-		tell_all(fa, now);
+		tell_all(fa, far, now);
 	}
 }
 
@@ -693,7 +709,7 @@
 fa_leave(struct fa *fa, uint64_t now)
 {
 	fa->leaving_ns = now;
-	tell_all(fa, now);
+	tell_all(fa, true, now);
 	tick_state(fa, now);
 }
 
--- a/src/flow/agent.h
+++ b/src/flow/agent.h
@@ -71,6 +71,7 @@
 	uint64_t tried_ns; /**< latest try_target() */
 	bool trying;	   /**< its outcome is due */
 	uint64_t told_ns;
+	unsigned rounds; /**< of heartbeats */
 	uint64_t asked_ns; /**< a list of balancers was asked for */
 	uint64_t expired_ns;
 	enum target_state told; /**< state that balancers were told last */
--- a/src/flow/agents.c
+++ b/src/flow/agents.c
@@ -223,6 +223,8 @@
 			break;
 		if (agents_awaited(v, now))
 			out->peers[out->count++] = (struct msg_peer){
-			    v->id, (uint32_t)((now - v->heard_ns) / NS_PER_MS)};
+			    .id = v->id,
+			    .age_ms = (uint32_t)((now - v->heard_ns) /
+						 NS_PER_MS)};
 	}
 }
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -52,6 +52,7 @@
 	fb->openings.capacity = OPENINGS_MAX;
 	fb->searches.capacity = SEARCHES_MAX;
 	fb->peers.self = setup->id;
+	fb->peers.domain_tag = flow_service_tag(str_of(setup->domain));
 	fb->began_ns = now;
 	fb->ticked_ns = now;
 	fb->trusted_ns = now;
@@ -674,7 +675,8 @@
 
 		if (age > now || age > PEER_FORGET_MS * NS_PER_MS)
 			continue;
-		if (peers_note(&fb->peers, list->peers[i].id, now - age))
+		if (peers_note(&fb->peers, list->peers[i].id, now - age,
+			list->peers[i].domain))
 			greet(fb, list->peers[i].id, now);
 	}
 }
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -66,6 +66,7 @@
 struct msg_peer {
 	uint64_t id;
 	uint32_t age_ms; /**< since it was heard of */
+	uint32_t domain; /**< tag of its failure domain, 0 if not known */
 };
 
 /** A list of balancers, or of agents. */
--- a/src/flow/peers.c
+++ b/src/flow/peers.c
@@ -27,7 +27,8 @@
 }
 
 bool
-peers_note(struct peers *p, uint64_t id, uint64_t heard_ns)
+peers_note(
+    struct peers *p, uint64_t id, uint64_t heard_ns, uint32_t domain_tag)
 {
 	struct peer *e;
 
@@ -37,11 +38,14 @@
 	if (e != NULL) {
 		if (heard_ns > e->heard_ns)
 			e->heard_ns = heard_ns;
+		if (domain_tag != 0)
+			e->domain_tag = domain_tag;
 		return false;
 	}
 	e = mem_new(sizeof(*e));
 	e->id = id;
 	e->heard_ns = heard_ns;
+	e->domain_tag = domain_tag;
 	HASH_ADD(hh, p->table, id, sizeof(e->id), e);
 	return true;
 }
@@ -50,7 +54,8 @@
 peers_heard(
     struct peers *p, uint64_t id, const struct msg_balancer *b, uint64_t now)
 {
-	bool is_new = peers_note(p, id, now);
+	bool is_new =
+	    peers_note(p, id, now, flow_service_tag(str_of(b->domain)));
 	struct peer *e = peers_find(p, id);
 
 	if (e == NULL)
@@ -98,10 +103,11 @@
 }
 
 static void
-list_one(struct msg_peers *out, uint64_t id, uint64_t age_ns)
+list_one(
+    struct msg_peers *out, uint64_t id, uint64_t age_ns, uint32_t domain_tag)
 {
-	out->peers[out->count++] =
-	    (struct msg_peer){id, (uint32_t)(age_ns / NS_PER_MS)};
+	out->peers[out->count++] = (struct msg_peer){
+	    id, (uint32_t)(age_ns / NS_PER_MS), domain_tag};
 }
 
 void
@@ -113,7 +119,7 @@
 
 	out->count = 0;
 	if (p->self != 0)
-		list_one(out, p->self, 0);
+		list_one(out, p->self, 0, p->domain_tag);
 	/* A table too large for one list is told part by part. */
 	if (known >= FLOW_PEERS_MAX)
 		skip = (size_t)(now / NS_PER_MS) % (known - FLOW_PEERS_MAX + 2);
@@ -125,7 +131,8 @@
 		}
 		if (out->count == FLOW_PEERS_MAX)
 			break;
-		list_one(out, e->id, now > e->heard_ns ? now - e->heard_ns : 0);
+		list_one(out, e->id, now > e->heard_ns ? now - e->heard_ns : 0,
+		    e->domain_tag);
 	}
 }
 
@@ -134,3 +141,9 @@
 {
 	return HASH_COUNT(p->table);
 }
+
+bool
+peers_near(const struct peers *p, const struct peer *e)
+{
+	return e->domain_tag == 0 || e->domain_tag == p->domain_tag;
+}
--- a/src/flow/peers.h
+++ b/src/flow/peers.h
@@ -23,6 +23,7 @@
 	char domain[FLOW_NAME_MAX];
 	uint32_t agents;   /**< that it has heard lately */
 	uint32_t capacity; /**< thousandths of a core */
+	uint32_t domain_tag; /**< of its failure domain, 0 if not known */
 	bool leaving;
 	UT_hash_handle hh;
 };
@@ -30,6 +31,7 @@
 /** All of them but oneself. */
 struct peers {
 	uint64_t self; /**< not kept as a peer; 0 at an agent */
+	uint32_t domain_tag; /**< of the own failure domain */
 	struct peer *table;
 };
 
@@ -39,9 +41,11 @@
 struct peer *peers_find(const struct peers *p, uint64_t id);
 /**
  * Take in that a balancer was heard of.
+ * @param domain_tag of its failure domain, 0 if not known
  * @return whether it is new
  */
-bool peers_note(struct peers *p, uint64_t id, uint64_t heard_ns);
+bool peers_note(
+    struct peers *p, uint64_t id, uint64_t heard_ns, uint32_t domain_tag);
 /** Take in a balancer's own heartbeat. @return whether it is new */
 bool peers_heard(
     struct peers *p, uint64_t id, const struct msg_balancer *b, uint64_t now);
@@ -51,6 +55,8 @@
 uint64_t peers_digest(const struct peers *p);
 /** Write a list; oneself comes first, then from a place that moves on. */
 void peers_list(const struct peers *p, uint64_t now, struct msg_peers *out);
+/** Whether a balancer is, or may be, of the own failure domain. */
+bool peers_near(const struct peers *p, const struct peer *e);
 /** Number of balancers known. */
 size_t peers_count(const struct peers *p);
 
