--- a/src/flow/place.c
+++ b/src/flow/place.c
@@ -9,8 +9,9 @@
  * thousandths of a request: one request of 30 ms each second. */
 #define MEAN_DEFAULT_MILLI 30
 /** A target in another failure domain counts as fuller by this, in thousandths
- * of a slot: the link costs bytes and delay, an uneven load costs more. */
-#define CROSSING_MILLI 60
+ * of a slot: the link costs bytes and delay. At 60 a noisy load sent flows
+ * across for nothing; at 400 more is served in time, and 700 adds no more. */
+#define CROSSING_MILLI 400
 /** A cold target's load counts this many percent. */
 #define COLD_PERCENT 160
 /** Evidence older than this many periods makes a target costly. */
