tests: a hall of stand-ins, the whole path with real processes, a fault soak

The hall holds the platform's store, targets, routers and callers on loopback, and checks each packet. tests/real/flows.sh kills, stops and restarts each kind of process and empties the store's answers; make faultsoak does the same at random.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 BUILD ?= build
 
-.PHONY: all deps demo check soak bench capacity format clean
+.PHONY: all deps demo check soak faultsoak bench capacity format clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD) --quiet
@@ -26,6 +26,11 @@
 soak: all
 	$(BUILD)/tests/soak $(SEED) $(STEPS) $(MODE)
 
+SECONDS ?= 20
+PROCS ?= 12
+faultsoak: all
+	BUILD=$(BUILD) scripts/faultsoak.sh $(SEED) $(SECONDS) $(PROCS)
+
 bench: all
 	BUILD=$(BUILD) scripts/bench.sh
 
--- /dev/null
+++ b/scripts/hall.sh
@@ -0,0 +1,80 @@
+# Functions that run the daemons for opaque flows on loopback addresses, with
+# the hall's stand-ins around them. Sourced after net= balancers= targets=.
+# shellcheck shell=bash
+. scripts/lab.sh
+
+flow_seeds() {
+	echo "[\"127.$net.1.1:7700\", \"127.$net.1.2:7700\"]"
+}
+
+flow_balancer() { # N, from 0
+	local ip=127.$net.1.$(($1 + 1))
+	cat >"$lab/flow-balancer$1.json" <<-JSON
+	{"name": "b$1", "address": "$ip:7700", "domain": "z$(($1 % 3))",
+	 "balancers": $(flow_seeds), "platform": "http://127.$net.0.1:8400",
+	 "packets": "$ip:8172", "readiness": "$ip:8167", "grace_ms": 3000,
+	 "log_lines": 200}
+	JSON
+	start "b$1" "$pw" balancer --flows --settings "$lab/flow-balancer$1.json"
+}
+
+flow_agent() { # N, from 0
+	local ip=127.$net.2.$(($1 + 1)) service=desk
+	[ $(($1 % 2)) = 0 ] || service=store
+	cat >"$lab/flow-agent$1.json" <<-JSON
+	{"name": "a$1", "address": "$ip:7700", "domain": "z$(($1 % 3))",
+	 "balancers": $(flow_seeds), "platform": "http://127.$net.0.1:8400",
+	 "packets": "$ip:8172", "readiness": "$ip:8167", "service": "$service",
+	 "target": "127.$net.3.$(($1 + 1)):8080", "target_packets": "$ip:8162",
+	 "target_words": "$ip:8166", "word_period_ms": 400, "log_lines": 200}
+	JSON
+	start "a$1" "$pw" agent --flows --settings "$lab/flow-agent$1.json"
+}
+
+hall_begin() { # CALLERS SEED
+	lab_begin
+	mkfifo "$lab/hall.in"
+	"$build/tests/standin-hall" "$net" "$balancers" "$targets" "$1" "$2" \
+	    <"$lab/hall.in" >"$lab/hall.out" 2>"$lab/hall.err" &
+	pid_of[hall]=$!
+	pids+=("$!")
+	exec 9>"$lab/hall.in"
+	for ((n = 0; n < balancers; n++)); do flow_balancer $n; done
+	for ((n = 0; n < targets; n++)); do flow_agent $n; done
+}
+
+hall() { # COMMAND...
+	echo "$*" >&9
+}
+
+# hall_answers N: wait until N answers more have come; a bound on a hang.
+hall_answers() {
+	local first now i
+	first=$(hall_field answers)
+	for ((i = 0; i < 300; i++)); do
+		now=$(hall_field answers)
+		[ $((now - first)) -ge "$1" ] && return 0
+		sleep 0.2
+	done
+	return 1
+}
+
+hall_field() { # NAME
+	local lines i
+	lines=$(wc -l <"$lab/hall.out")
+	hall count
+	for ((i = 0; i < 100; i++)); do
+		[ "$(wc -l <"$lab/hall.out")" -gt "$lines" ] && break
+		sleep 0.05
+	done
+	hall_last "$1"
+}
+
+hall_last() { # NAME
+	tail -n 1 "$lab/hall.out" | tr ' ' '\n' | grep -A1 "^$1\$" | tail -n 1
+}
+
+hall_end() {
+	hall end
+	wait "${pid_of[hall]}"
+}
--- /dev/null
+++ b/tests/standins/hall_store.c
@@ -0,0 +1,173 @@
+#include "hall.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ENTRIES_MAX 64
+
+static struct {
+	struct hall *hall;
+	struct web web;
+	unsigned revision;
+	unsigned version;
+	bool away;
+	char body[16384];
+	struct {
+		char name[64];
+		json_t *spec;
+		unsigned revision;
+	} entries[ENTRIES_MAX];
+	size_t count;
+} store;
+
+/* Every other version has one route more, which nobody uses. */
+static json_t *
+config(void)
+{
+	json_t *routes = json_array();
+	char host[32];
+
+	for (size_t i = 0; i < HALL_SERVICES; i++) {
+		snprintf(host, sizeof(host), "198.18.0.%zu", i + 1);
+		json_array_append_new(routes,
+		    json_pack("{s:s, s:s, s:s}", "host", host, "path_prefix",
+			"/443/", "service", hall_service_name(store.hall->broken == BROKEN_ROUTE
+					      ? HALL_SERVICES - 1 - i
+					      : i)));
+	}
+	if (store.version % 2 == 0)
+		json_array_append_new(routes,
+		    json_pack("{s:s, s:s, s:s}", "host", "198.18.0.99",
+			"path_prefix", "/443/", "service", "desk"));
+	return json_pack("{s:{s:s, s:i}, s:{s:i, s:o, s:{s:i}}}", "meta",
+	    "name", "main", "revision", (int)store.revision, "spec", "version",
+	    (int)store.version, "routes", routes, "limits", "idle_timeout_ms",
+	    15000);
+}
+
+static void
+reply(struct web_answer *out, int status, json_t *body)
+{
+	size_t len =
+	    json_dumpb(body, store.body, sizeof(store.body), JSON_COMPACT);
+
+	json_decref(body);
+	out->status = status;
+	out->type = "application/json";
+	out->body = (struct str){store.body, len};
+}
+
+static void
+on_config(const char *path, struct web_answer *out)
+{
+	const char *watch = strstr(path, "watch=");
+	json_t *list = json_array();
+
+	if (watch == NULL) {
+		json_array_append_new(list, config());
+		reply(out, 200,
+		    json_pack("{s:o, s:b, s:i}", "items", list, "has_more", 0,
+			"as_of", (int)store.revision));
+		return;
+	}
+	if (strtoul(watch + 6, NULL, 10) < store.revision)
+		json_array_append_new(list,
+		    json_pack("{s:b, s:o}", "deleted", 0, "object", config()));
+	reply(out, 200,
+	    json_pack("{s:o, s:i}", "events", list, "as_of",
+		(int)store.revision));
+}
+
+static json_t *
+entry(size_t i)
+{
+	return json_pack("{s:{s:s, s:i}, s:O}", "meta", "name",
+	    store.entries[i].name, "revision", (int)store.entries[i].revision,
+	    "spec", store.entries[i].spec);
+}
+
+static void
+create(const struct web_call *call, struct web_answer *out)
+{
+	json_t *root = json_loadb(call->body.p, call->body.len, 0, NULL);
+	const char *name = json_string_value(
+	    json_object_get(json_object_get(root, "meta"), "name"));
+
+	for (size_t i = 0; name != NULL && i < store.count; i++) {
+		if (strcmp(store.entries[i].name, name) == 0) {
+			reply(out, 409, entry(i));
+			json_decref(root);
+			return;
+		}
+	}
+	if (name != NULL && store.count < ENTRIES_MAX) {
+		snprintf(store.entries[store.count].name, 64, "%s", name);
+		store.entries[store.count].spec =
+		    json_incref(json_object_get(root, "spec"));
+		store.entries[store.count].revision = store.count + 1;
+		reply(out, 200, entry(store.count++));
+	}
+	json_decref(root);
+}
+
+static void
+list_entries(struct web_answer *out)
+{
+	json_t *items = json_array();
+
+	for (size_t i = 0; i < store.count; i++)
+		json_array_append_new(items, entry(i));
+	/* An entry of some other writer. */
+	json_array_append_new(items, json_pack("{s:i}", "meta", 7));
+	reply(out, 200,
+	    json_pack("{s:o, s:b, s:i}", "items", items, "has_more", 0, "as_of",
+		(int)store.revision));
+}
+
+static void
+on_call(void *ctx, const struct web_call *call, struct web_answer *out)
+{
+	char path[WEB_PATH_MAX + 1];
+
+	(void)ctx;
+	str_copy(path, sizeof(path), call->path);
+	if (store.away)
+		out->status = 503;
+	else if (strncmp(path, "/v1/objects/config", 18) == 0)
+		on_config(path, out);
+	else if (str_is(call->method, "POST"))
+		create(call, out);
+	else if (strncmp(path, "/v1/objects/balancers", 21) == 0)
+		list_entries(out);
+}
+
+void
+hall_store_open(struct hall *h)
+{
+	struct status st;
+
+	store.hall = h;
+	store.version = 1;
+	store.revision = 1;
+	st = web_open(
+	    &store.web, h->loop, hall_addr(h, 0, 0, PORT_STORE), on_call, NULL);
+	if (st.code != STATUS_OK) {
+		fprintf(stderr, "store: %s\n", st.message);
+		exit(1);
+	}
+}
+
+void
+hall_store_change(void)
+{
+	store.version += 3;
+	store.revision++;
+}
+
+void
+hall_store_away(bool away)
+{
+	store.away = away;
+}
