--- a/tests/standins/hall_targets.c
+++ b/tests/standins/hall_targets.c
@@ -32,6 +32,7 @@
 	size_t n;
 	size_t service;
 	struct udp udp;
+	struct web health; /**< open while it lives */
 	uv_timer_t timer;
 	uv_timer_t turn;
 	struct held *flows;
@@ -193,9 +194,22 @@
 		say(t, "PUT");
 }
 
+static void
+on_health(void *ctx, const struct web_call *call, struct web_answer *out)
+{
+	(void)ctx;
+	(void)call;
+	out->status = 200;
+}
+
 static void
 begin_life(struct target *t)
 {
+	struct status st = web_open(&t->health, t->hall->loop,
+	    hall_addr(t->hall, 3, (unsigned)t->n, PORT_TARGET), on_health, t);
+
+	if (st.code != STATUS_OK)
+		fprintf(stderr, "target: %s\n", st.message);
 	t->down = false;
 	t->leaving = false;
 	t->told_ms = 0;
@@ -204,6 +218,17 @@
 	t->born_ms = 1000000 + hall_now_ms();
 }
 
+static void on_turn(uv_timer_t *timer);
+
+static void
+end_life(struct target *t)
+{
+	t->down = true;
+	web_close(&t->health);
+	forget_flows(t);
+	uv_timer_start(&t->turn, on_turn, DOWN_MS, 0);
+}
+
 static void
 on_turn(uv_timer_t *timer)
 {
@@ -215,9 +240,7 @@
 	}
 	/* It leaves, and its time is over. */
 	say(t, "DELETE");
-	t->down = true;
-	forget_flows(t);
-	uv_timer_start(&t->turn, on_turn, DOWN_MS, 0);
+	end_life(t);
 }
 
 void
@@ -237,9 +260,8 @@
 {
 	struct target *t = &targets[n];
 
-	t->down = true;
-	forget_flows(t);
-	uv_timer_start(&t->turn, on_turn, DOWN_MS, 0);
+	if (!t->down)
+		end_life(t);
 }
 
 bool
