metrics: latency histograms; tests: logs on full and closed pipes

Openings, searches and the wait of requests are told as histograms on the metrics address. A log on a pipe that is full or closed leaves lines out, counts them and does not wait.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,8 @@
 	BUILD=$(BUILD) scripts/capacity.sh
 
 format:
-	git ls-files -co --exclude-standard 'src/*.[ch]' 'tests/*.[ch]' 'bench/*.[ch]' | \
+	git ls-files -co --exclude-standard 'src/*.[ch]' 'platform/*.[ch]' \
+	    'tests/*.[ch]' 'bench/*.[ch]' | \
 	    grep -v 'pb-c' | xargs clang-format -i
 
 clean:
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -56,6 +56,7 @@
 check broken-5 check_broken 5 2 planned
 if [ -z "${NO_REAL:-}" ]; then
 	check real "$build/tests/real"
+	check faultsoak-1 scripts/faultsoak.sh 1 10 12
 fi
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -323,6 +323,8 @@
 	struct held_flow *f = table_find(&fa->flows, &p->flow);
 	struct msg_flow about = {.flow = p->flow};
 
+	if (f != NULL && f->state == HELD_OPENING)
+		latency_note(&fa->opening, now - f->began_ns);
 	if (f == NULL || f->state != HELD_OPEN || !table_fits(f, p->seq))
 		f = enter(fa, &p->flow, HELD_HALF, now);
 	table_numbered(f, p->seq);
@@ -397,8 +399,9 @@
 	table_numbered(f, p->seq);
 	f->used_ns = now;
 	f->target_done |= (p->flags & FLOW_FIN) != 0;
-	if (p->data > 0) {
+	if (p->data > 0 && f->asked_ns != 0) {
 		smooth(fa, now);
+		latency_note(&fa->wait, now - f->asked_ns);
 		table_answer(&fa->flows, f);
 	}
 	if ((p->flags & FLOW_RST) != 0 || (f->caller_done && f->target_done)) {
--- a/src/flow/agent.h
+++ b/src/flow/agent.h
@@ -8,6 +8,7 @@
 #define PW_FLOW_AGENT_H
 
 #include "base/counters.h"
+#include "base/latency.h"
 #include "flow/peers.h"
 #include "flow/table.h"
 #include "flow/target.h"
@@ -56,6 +57,8 @@
 	const struct fa_out *out;
 	void *ctx;
 	struct counters *ctr;
+	struct latency wait;	/**< request given until its answer begins */
+	struct latency opening; /**< opening given until the target accepts */
 	struct flow_table flows;
 	struct target target;
 	struct peers peers;
@@ -71,7 +74,7 @@
 	uint64_t tried_ns; /**< latest try_target() */
 	bool trying;	   /**< its outcome is due */
 	uint64_t told_ns;
-	unsigned rounds; /**< of heartbeats */
+	unsigned rounds;   /**< of heartbeats */
 	uint64_t asked_ns; /**< a list of balancers was asked for */
 	uint64_t expired_ns;
 	enum target_state told; /**< state that balancers were told last */
--- a/src/flow/agents.c
+++ b/src/flow/agents.c
@@ -224,7 +224,7 @@
 		if (agents_awaited(v, now))
 			out->peers[out->count++] = (struct msg_peer){
 			    .id = v->id,
-			    .age_ms = (uint32_t)((now - v->heard_ns) /
-						 NS_PER_MS)};
+			    .age_ms =
+				(uint32_t)((now - v->heard_ns) / NS_PER_MS)};
 	}
 }
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -291,7 +291,7 @@
 }
 
 static void
-on_accepted(struct fb *fb, const struct flow_msg *m)
+on_accepted(struct fb *fb, const struct flow_msg *m, uint64_t now)
 {
 	struct opening *e = openings_find(&fb->openings, &m->u.flow.flow);
 
@@ -299,8 +299,10 @@
 	if (hint_set(fb->hints, &m->u.flow.flow, m->from))
 		ctr_inc(fb->ctr, CTR_EVICT_HINT);
 	ctr_inc(fb->ctr, CTR_HINTS);
-	if (e != NULL)
-		openings_drop(&fb->openings, e);
+	if (e == NULL)
+		return;
+	latency_note(&fb->opening, now - e->first_ns);
+	openings_drop(&fb->openings, e);
 }
 
 static enum counter
@@ -481,6 +483,7 @@
 	if (e == NULL)
 		return;
 	if (found->where == FLOW_HERE) {
+		latency_note(&fb->search, now - e->began_ns);
 		event("search_found", "s:s, s:s, s:i, s:i, s:I", "caller",
 		    addr_text(addr_unpack(found->flow.caller), caller), "agent",
 		    addr_text(addr_unpack(v->id), agent), "asked",
@@ -698,7 +701,7 @@
 		on_found_list(fb, m, now);
 		return;
 	case FLOW_MSG_ACCEPTED:
-		on_accepted(fb, m);
+		on_accepted(fb, m, now);
 		return;
 	case FLOW_MSG_REFUSED:
 		on_refused(fb, m, now);
--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -8,6 +8,7 @@
 #define PW_FLOW_BALANCER_H
 
 #include "base/counters.h"
+#include "base/latency.h"
 #include "base/rng.h"
 #include "decide/hints.h"
 #include "flow/openings.h"
@@ -44,6 +45,8 @@
 	const struct fb_out *out;
 	void *ctx;
 	struct counters *ctr;
+	struct latency opening; /**< opening's arrival until accepted */
+	struct latency search;	/**< search's begin until found */
 	struct routes routes;
 	struct agents agents;
 	struct peers peers;
--- a/src/flow/peers.c
+++ b/src/flow/peers.c
@@ -27,8 +27,7 @@
 }
 
 bool
-peers_note(
-    struct peers *p, uint64_t id, uint64_t heard_ns, uint32_t domain_tag)
+peers_note(struct peers *p, uint64_t id, uint64_t heard_ns, uint32_t domain_tag)
 {
 	struct peer *e;
 
@@ -106,8 +105,8 @@
 list_one(
     struct msg_peers *out, uint64_t id, uint64_t age_ns, uint32_t domain_tag)
 {
-	out->peers[out->count++] = (struct msg_peer){
-	    id, (uint32_t)(age_ns / NS_PER_MS), domain_tag};
+	out->peers[out->count++] =
+	    (struct msg_peer){id, (uint32_t)(age_ns / NS_PER_MS), domain_tag};
 }
 
 void
--- a/src/flow/peers.h
+++ b/src/flow/peers.h
@@ -21,8 +21,8 @@
 	uint64_t direct_ns; /**< from it, 0 for never */
 	uint64_t version;   /**< configuration in force there */
 	char domain[FLOW_NAME_MAX];
-	uint32_t agents;   /**< that it has heard lately */
-	uint32_t capacity; /**< thousandths of a core */
+	uint32_t agents;     /**< that it has heard lately */
+	uint32_t capacity;   /**< thousandths of a core */
 	uint32_t domain_tag; /**< of its failure domain, 0 if not known */
 	bool leaving;
 	UT_hash_handle hh;
@@ -30,7 +30,7 @@
 
 /** All of them but oneself. */
 struct peers {
-	uint64_t self; /**< not kept as a peer; 0 at an agent */
+	uint64_t self;	     /**< not kept as a peer; 0 at an agent */
 	uint32_t domain_tag; /**< of the own failure domain */
 	struct peer *table;
 };
--- a/src/task/flow_agent_task.c
+++ b/src/task/flow_agent_task.c
@@ -173,6 +173,7 @@
 gauges(void *ctx, char *buf, size_t cap, uint64_t now)
 {
 	struct task_state *t = ctx;
+	size_t len;
 	int n = snprintf(buf, cap,
 	    "# TYPE pw_flows gauge\npw_flows %u\n"
 	    "# TYPE pw_requests_waiting gauge\npw_requests_waiting %u\n"
@@ -183,7 +184,12 @@
 	    (unsigned long long)((now - t->fa.target.word_ns) / NS_PER_MS),
 	    peers_count(&t->fa.peers));
 
-	return n < 0 || (size_t)n >= cap ? 0 : (size_t)n;
+	if (n < 0 || (size_t)n >= cap)
+		return 0;
+	len = (size_t)n;
+	len += latency_write(&t->fa.opening, "opening", buf + len, cap - len);
+	len += latency_write(&t->fa.wait, "request_wait", buf + len, cap - len);
+	return len;
 }
 
 /* ---- members ---- */
--- a/src/task/flow_balancer_task.c
+++ b/src/task/flow_balancer_task.c
@@ -213,6 +213,7 @@
 gauges(void *ctx, char *buf, size_t cap, uint64_t now)
 {
 	struct task_state *t = ctx;
+	size_t len;
 	int n = snprintf(buf, cap,
 	    "# TYPE pw_version gauge\npw_version %llu\n"
 	    "# TYPE pw_ready gauge\npw_ready %d\n"
@@ -223,7 +224,12 @@
 	    agents_live(&t->fb.agents, now), peers_count(&t->fb.peers),
 	    hint_count(t->fb.hints));
 
-	return n < 0 || (size_t)n >= cap ? 0 : (size_t)n;
+	if (n < 0 || (size_t)n >= cap)
+		return 0;
+	len = (size_t)n;
+	len += latency_write(&t->fb.opening, "opening", buf + len, cap - len);
+	len += latency_write(&t->fb.search, "search", buf + len, cap - len);
+	return len;
 }
 
 /* ---- time ---- */
--- a/tests/real/real.c
+++ b/tests/real/real.c
@@ -48,9 +48,8 @@
 int
 main(void)
 {
-	static char *const names[] = {
-	    "kills", "freeze", "platform", "race", "strangers", "inputs",
-	    "flows"};
+	static char *const names[] = {"kills", "freeze", "platform", "race",
+	    "strangers", "inputs", "flows"};
 	struct CMUnitTest tests[sizeof(names) / sizeof(names[0])];
 
 	setenv("BUILD", BUILD, 1);
--- a/tests/standins/hall.c
+++ b/tests/standins/hall.c
@@ -26,8 +26,9 @@
 {
 	const struct hall_counts *c = &hall.counts;
 
-	printf("requests %llu answers %llu lost %llu resets %llu misrouted %llu "
-	       "mixed %llu changed %llu late %llu checks %llu\n",
+	printf(
+	    "requests %llu answers %llu lost %llu resets %llu misrouted %llu "
+	    "mixed %llu changed %llu late %llu checks %llu\n",
 	    (unsigned long long)c->requests, (unsigned long long)c->answers,
 	    (unsigned long long)c->lost, (unsigned long long)c->resets,
 	    (unsigned long long)c->misrouted, (unsigned long long)c->mixed,
--- a/tests/standins/hall_callers.c
+++ b/tests/standins/hall_callers.c
@@ -76,8 +76,7 @@
 	const struct fetch_ask ask = {.url = url, .timeout_ms = LOOK_MS - 50};
 
 	snprintf(url, sizeof(url), "http://%s/v1/ready",
-	    addr_text(
-		hall_addr(b->hall, 1, (unsigned)b->n, PORT_READY), at));
+	    addr_text(hall_addr(b->hall, 1, (unsigned)b->n, PORT_READY), at));
 	fetch_begin(b->hall->fetcher, &ask, on_looked, b);
 }
 
@@ -92,8 +91,8 @@
 	for (size_t i = 0; i < h->balancers; i++) {
 		uint32_t key[3] = {
 		    (uint32_t)c->n, c->port, (uint32_t)i * 2654435761U};
-		uint32_t weight = flow_service_tag(
-		    (struct str){(char *)key, sizeof(key)});
+		uint32_t weight =
+		    flow_service_tag((struct str){(char *)key, sizeof(key)});
 
 		if (routers[i].misses < MISSES && weight > best_weight) {
 			best = i;
@@ -116,8 +115,7 @@
 	    .flags = flags};
 
 	snprintf(p.data, sizeof(p.data), "%s", data);
-	udp_send(
-	    &c->udp, route(c), (struct str){buf, hall_write(&p, buf)});
+	udp_send(&c->udp, route(c), (struct str){buf, hall_write(&p, buf)});
 }
 
 static void wait_then(struct caller *c, uint64_t ms);
@@ -262,7 +260,8 @@
 hall_callers_open(struct hall *h)
 {
 	for (size_t i = 0; i < h->balancers; i++) {
-		routers[i] = (struct router){.hall = h, .n = i, .misses = MISSES};
+		routers[i] =
+		    (struct router){.hall = h, .n = i, .misses = MISSES};
 		uv_timer_init(h->loop, &routers[i].timer);
 		routers[i].timer.data = &routers[i];
 		uv_timer_start(&routers[i].timer, on_look, i * 11, LOOK_MS);
--- a/tests/standins/hall_store.c
+++ b/tests/standins/hall_store.c
@@ -33,14 +33,15 @@
 		snprintf(host, sizeof(host), "198.18.0.%zu", i + 1);
 		json_array_append_new(routes,
 		    json_pack("{s:s, s:s, s:s}", "host", host, "path_prefix",
-			"/443/", "service", hall_service_name(store.hall->broken == BROKEN_ROUTE
+			"/443/", "service",
+			hall_service_name(store.hall->broken == BROKEN_ROUTE
 					      ? HALL_SERVICES - 1 - i
 					      : i)));
 	}
 	if (store.version % 2 == 0)
-		json_array_append_new(routes,
-		    json_pack("{s:s, s:s, s:s}", "host", "198.18.0.99",
-			"path_prefix", "/443/", "service", "desk"));
+		json_array_append_new(
+		    routes, json_pack("{s:s, s:s, s:s}", "host", "198.18.0.99",
+				"path_prefix", "/443/", "service", "desk"));
 	return json_pack("{s:{s:s, s:i}, s:{s:i, s:o, s:{s:i}}}", "meta",
 	    "name", "main", "revision", (int)store.revision, "spec", "version",
 	    (int)store.version, "routes", routes, "limits", "idle_timeout_ms",
@@ -76,8 +77,8 @@
 		json_array_append_new(list,
 		    json_pack("{s:b, s:o}", "deleted", 0, "object", config()));
 	reply(out, 200,
-	    json_pack("{s:o, s:i}", "events", list, "as_of",
-		(int)store.revision));
+	    json_pack(
+		"{s:o, s:i}", "events", list, "as_of", (int)store.revision));
 }
 
 static json_t *
--- a/tests/standins/hall_targets.c
+++ b/tests/standins/hall_targets.c
@@ -67,8 +67,7 @@
 
 	if (t->hall->broken == BROKEN_CHANGED)
 		buf[0] ^= 1;
-	udp_send(&t->udp,
-	    hall_addr(t->hall, 2, (unsigned)t->n, PORT_OUT),
+	udp_send(&t->udp, hall_addr(t->hall, 2, (unsigned)t->n, PORT_OUT),
 	    (struct str){buf, len});
 }
 
--- a/tests/standins/hall_wire.c
+++ b/tests/standins/hall_wire.c
@@ -20,8 +20,8 @@
 struct addr
 hall_addr(const struct hall *h, unsigned kind, unsigned n, uint16_t port)
 {
-	return (struct addr){0x7f000000U | h->net << 16 | kind << 8 | (n + 1),
-	    port};
+	return (struct addr){
+	    0x7f000000U | h->net << 16 | kind << 8 | (n + 1), port};
 }
 
 struct addr
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -6,6 +6,7 @@
 #include "flow_world.h"
 #include "runner.h"
 
+#include <signal.h>
 #include <sodium.h>
 
 static const struct script_command commands[] = {
@@ -26,6 +27,9 @@
     {"ready", do_ready},
     {"leave", do_leave},
     {"spread", do_spread},
+    {"entry", do_entry},
+    {"log", do_log},
+    {"latency", do_latency},
     {"agt", do_agt},
     {"word", do_word},
     {"from", do_from_balancer},
@@ -45,8 +49,9 @@
 main(void)
 {
 	static const char *const names[] = {"flow-open", "flow-search",
-	    "flow-members", "flow-agent", "flow-target", "platform"};
+	    "flow-members", "flow-agent", "flow-target", "platform", "logs"};
 
+	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0)
 		return 1;
 	return script_main(commands, sizeof(commands) / sizeof(commands[0]),
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -46,6 +46,7 @@
 void do_paused(const char *arg, const char *body);
 void do_ready(const char *arg, const char *body);
 void do_leave(const char *arg, const char *body);
+void do_entry(const char *arg, const char *body);
 void do_spread(const char *arg, const char *body);
 
 /* Commands of scripts about an agent. */
@@ -58,6 +59,10 @@
 void do_await(const char *arg, const char *body);
 void do_stop(const char *arg, const char *body);
 
+/* Commands of scripts about logs and metrics. */
+void do_log(const char *arg, const char *body);
+void do_latency(const char *arg, const char *body);
+
 /* Commands of scripts about the platform's words. */
 void do_packet(const char *arg, const char *body);
 void do_call(const char *arg, const char *body);
--- a/tests/unit/script_flow_balancer.c
+++ b/tests/unit/script_flow_balancer.c
@@ -362,6 +362,15 @@
 	fb_leave(&fb, script_now_ns);
 }
 
+/* entry BALANCER: what becomes of its entry in the store */
+void
+do_entry(const char *arg, const char *body)
+{
+	(void)body;
+	say("  gone %d, this one cleans %d\n",
+	    fb_gone(&fb, world_id(arg), script_now_ns), fb_first(&fb));
+}
+
 /* spread COUNT SERVICE: flows that the agents of a service get, in all */
 void
 do_spread(const char *arg, const char *body)
