--- a/src/codec/flow_wire.c
+++ b/src/codec/flow_wire.c
@@ -77,6 +77,7 @@
 	Pwf__Peers peers = PWF__PEERS__INIT;
 	Pwf__Peer items[FLOW_PEERS_MAX];
 	Pwf__Peer *refs[FLOW_PEERS_MAX];
+	size_t len;
 
 	for (uint32_t i = 0; i < list->count; i++) {
 		pwf__peer__init(&items[i]);
@@ -90,7 +91,9 @@
 	peers.peers = refs;
 	env->body_case = PWF__ENVELOPE__BODY_PEERS;
 	env->peers = &peers;
-	return pack(env, buf, cap);
+	len = pack(env, buf, cap);
+	env->peers = NULL;
+	return len;
 }
 
 static size_t
@@ -100,6 +103,7 @@
 	Pwf__Find find = PWF__FIND__INIT;
 	Pwf__Found items[FLOW_FIND_MAX];
 	Pwf__Found *refs[FLOW_FIND_MAX];
+	size_t len;
 
 	for (uint32_t i = 0; i < list->count; i++) {
 		pwf__found__init(&items[i]);
@@ -113,7 +117,9 @@
 	find.flows = refs;
 	env->body_case = PWF__ENVELOPE__BODY_FIND;
 	env->find = &find;
-	return pack(env, buf, cap);
+	len = pack(env, buf, cap);
+	env->find = NULL;
+	return len;
 }
 
 size_t
--- a/src/flow/agents.c
+++ b/src/flow/agents.c
@@ -56,7 +56,8 @@
 		g->service = v->said.service;
 		HASH_ADD(hh, a->groups, service, sizeof(g->service), g);
 	}
-	g->members = mem_grow(g->members, g->count + 1, sizeof(*g->members));
+	g->members =
+	    mem_grow(g->members, g->count + 1, sizeof(struct agent_view *));
 	g->members[g->count++] = v;
 	v->group = g;
 }
--- /dev/null
+++ b/src/flow/balancer_members.c
@@ -0,0 +1,319 @@
+#include "flow/balancer_parts.h"
+
+#include "base/clock.h"
+#include "base/event.h"
+
+#include <string.h>
+
+/** Heartbeat to balancers of the own failure domain, ms. */
+#define GREET_MS 500
+/** The same in the first seconds, while it looks for the others, ms. */
+#define GREET_YOUNG_MS 150
+#define YOUNG_MS 3000
+/** Heartbeat to some of the others, ms. */
+#define GREET_FAR_MS 1000
+/** Others that get a heartbeat in one round. */
+#define GREET_FAR_COUNT 3
+/** Most balancers that are told of a new version at once. */
+#define TELL_MAX 32
+/** A longer gap between ticks means that this process stood still, ms. */
+#define GAP_MS 500
+/** After it, silence of others proves nothing for this, ms. */
+#define REGAIN_MS 1500
+/** Balancers of one failure domain that watch the configuration. */
+#define WATCHERS 2
+
+static void
+send_list(struct fb *fb, uint64_t to, uint64_t now)
+{
+	struct flow_msg m = {.kind = FLOW_MSG_PEERS};
+
+	peers_list(&fb->peers, now, &m.u.peers);
+	fb_send(fb, to, &m);
+}
+
+static void
+send_agents(struct fb *fb, uint64_t to, uint64_t now)
+{
+	struct flow_msg m = {.kind = FLOW_MSG_PEERS};
+
+	agents_list(&fb->agents, now, &m.u.peers);
+	if (m.u.peers.count > 0)
+		fb_send(fb, to, &m);
+}
+
+void
+fb_on_agent(struct fb *fb, const struct flow_msg *m, uint64_t now)
+{
+	struct agent_view *before = agents_find(&fb->agents, m->from);
+	enum target_state was =
+	    before == NULL ? TARGET_UNKNOWN : before->said.state;
+	struct agent_view *v = agents_heard(&fb->agents, m, now);
+	char agent[ADDR_TEXT_MAX];
+
+	if (v == NULL)
+		return;
+	if (m->u.agent.gone) {
+		event("agent_gone", "s:s", "agent",
+		    addr_text(addr_unpack(m->from), agent));
+		agents_forget(&fb->agents, m->from);
+		return;
+	}
+	if (fb->first_agent_ns == 0) {
+		fb->first_agent_ns = now;
+		fb->first_period_ms = v->said.period_ms;
+	}
+	if (v->said.state != was)
+		event("agent", "s:s, s:i, s:i, s:I", "agent",
+		    addr_text(addr_unpack(m->from), agent), "state",
+		    (int)v->said.state, "was", (int)was, "incarnation",
+		    (json_int_t)v->incarnation);
+	if (m->u.agent.peers != peers_digest(&fb->peers))
+		send_list(fb, m->from, now);
+}
+
+void
+fb_on_balancer(struct fb *fb, const struct flow_msg *m, uint64_t now)
+{
+	char peer[ADDR_TEXT_MAX];
+	uint64_t digest;
+
+	if (peers_heard(&fb->peers, m->from, &m->u.balancer, now)) {
+		event("balancer", "s:s, s:s", "balancer",
+		    addr_text(addr_unpack(m->from), peer), "domain",
+		    m->u.balancer.domain);
+		fb_greet(fb, m->from, now);
+	}
+	if (m->u.balancer.peers != peers_digest(&fb->peers))
+		send_list(fb, m->from, now);
+	agents_recent(&fb->agents, now, &digest);
+	if (m->u.balancer.agent_set != digest)
+		send_agents(fb, m->from, now);
+}
+
+/* Agents that another balancer hears are asked to tell this one too. */
+static void
+on_agents(struct fb *fb, const struct msg_peers *list, uint64_t now)
+{
+	for (uint32_t i = 0; i < list->count; i++) {
+		if (agents_find(&fb->agents, list->peers[i].id) == NULL)
+			fb_greet(fb, list->peers[i].id, now);
+	}
+}
+
+void
+fb_on_peers(struct fb *fb, const struct msg_peers *list, uint64_t now)
+{
+	if (list->agents) {
+		on_agents(fb, list, now);
+		return;
+	}
+	for (uint32_t i = 0; i < list->count; i++) {
+		uint64_t age = list->peers[i].age_ms * NS_PER_MS;
+
+		if (age > now || age > PEER_FORGET_MS * NS_PER_MS)
+			continue;
+		if (peers_note(&fb->peers, list->peers[i].id, now - age,
+			list->peers[i].domain))
+			fb_greet(fb, list->peers[i].id, now);
+	}
+}
+
+/* ---- configuration ---- */
+
+static void
+tell_peers(struct fb *fb, uint64_t now)
+{
+	size_t known = peers_count(&fb->peers);
+	size_t step = known / TELL_MAX + 1;
+	size_t at = (size_t)rng_below(&fb->rng, step);
+	struct peer *e, *next;
+
+	HASH_ITER(hh, fb->peers.table, e, next)
+	{
+		if (at++ % step == 0)
+			fb_greet(fb, e->id, now);
+	}
+}
+
+bool
+fb_routes(struct fb *fb, struct routes *next, uint64_t now)
+{
+	if (next->version <= fb->routes.version) {
+		ctr_inc(fb->ctr, CTR_CONFIG_STALE);
+		routes_clear(next);
+		return false;
+	}
+	event("configuration", "s:I, s:I, s:i", "version",
+	    (json_int_t)next->version, "before", (json_int_t)fb->routes.version,
+	    "routes", (int)HASH_COUNT(next->table));
+	routes_clear(&fb->routes);
+	fb->routes = *next;
+	*next = (struct routes){0};
+	ctr_inc(fb->ctr, CTR_CONFIG_APPLIED);
+	tell_peers(fb, now);
+	return true;
+}
+
+/* The larger ones watch, since the platform's text takes time to read. */
+static bool
+watches_before(const struct peer *e, const struct fb_setup *self)
+{
+	if (e->capacity != self->capacity)
+		return e->capacity > self->capacity;
+	return e->id < self->id;
+}
+
+bool
+fb_watches(const struct fb *fb, uint64_t now)
+{
+	unsigned before = 0;
+	struct peer *e, *next;
+
+	HASH_ITER(hh, fb->peers.table, e, next)
+	{
+		if (fb_heard_lately(e, now) && !e->leaving &&
+		    strcmp(e->domain, fb->setup.domain) == 0 &&
+		    watches_before(e, &fb->setup))
+			before++;
+	}
+	return before < WATCHERS;
+}
+
+uint64_t
+fb_newer_peer(const struct fb *fb, uint64_t now)
+{
+	uint64_t version = fb->routes.version;
+	uint64_t found = 0;
+	struct peer *e, *next;
+
+	HASH_ITER(hh, fb->peers.table, e, next)
+	{
+		if (e->version <= version || !fb_heard_lately(e, now))
+			continue;
+		version = e->version;
+		found = e->id;
+	}
+	return found;
+}
+
+/* ---- members by the store ---- */
+
+void
+fb_meet(struct fb *fb, uint64_t id, uint64_t now)
+{
+	/* An entry may be of a dead balancer: only its answer makes it known.
+	 */
+	if (id != fb->setup.id && peers_find(&fb->peers, id) == NULL)
+		fb_greet(fb, id, now);
+}
+
+bool
+fb_gone(const struct fb *fb, uint64_t id, uint64_t now)
+{
+	/* Peers are forgotten by peers_expire() after long silence. */
+	return id != fb->setup.id && now >= fb->trusted_ns &&
+	       peers_find(&fb->peers, id) == NULL;
+}
+
+bool
+fb_first(const struct fb *fb)
+{
+	struct peer *e, *next;
+
+	HASH_ITER(hh, fb->peers.table, e, next)
+	{
+		if (e->id < fb->setup.id)
+			return false;
+	}
+	return true;
+}
+
+/* ---- time ---- */
+
+static void
+greet_seeds(struct fb *fb, uint64_t now)
+{
+	for (size_t i = 0; i < fb->setup.seed_count; i++) {
+		if (fb->setup.seeds[i] != fb->setup.id &&
+		    peers_find(&fb->peers, fb->setup.seeds[i]) == NULL)
+			fb_greet(fb, fb->setup.seeds[i], now);
+	}
+}
+
+static void
+greet_near(struct fb *fb, uint64_t now)
+{
+	struct peer *e, *next;
+
+	HASH_ITER(hh, fb->peers.table, e, next)
+	{
+		if (e->direct_ns == 0 ||
+		    strcmp(e->domain, fb->setup.domain) == 0)
+			fb_greet(fb, e->id, now);
+	}
+}
+
+static void
+greet_far(struct fb *fb, uint64_t now)
+{
+	uint64_t known = peers_count(&fb->peers);
+	struct peer *e, *next;
+
+	HASH_ITER(hh, fb->peers.table, e, next)
+	{
+		if (rng_below(&fb->rng, known) < GREET_FAR_COUNT)
+			fb_greet(fb, e->id, now);
+	}
+}
+
+/* How late ticks come; halves with each tick that is on time. */
+static void
+note_lag(struct fb *fb, uint64_t now)
+{
+	uint64_t gap_ms = (now - fb->ticked_ns) / NS_PER_MS;
+	uint64_t late_ms = gap_ms > FB_TICK_MS ? gap_ms - FB_TICK_MS : 0;
+
+	fb->lag_ms = late_ms > fb->lag_ms / 2 ? late_ms : fb->lag_ms / 2;
+}
+
+void
+fb_paused(struct fb *fb, uint64_t gap_ms, uint64_t now)
+{
+	ctr_inc(fb->ctr, CTR_PAUSES);
+	event("paused", "s:I", "gap_ms", (json_int_t)gap_ms);
+	fb->trusted_ns = now + REGAIN_MS * NS_PER_MS;
+}
+
+void
+fb_tick(struct fb *fb, uint64_t now)
+{
+	note_lag(fb, now);
+	fb_earn_credit(fb, now - fb->ticked_ns);
+	if (fb_passed(fb->ticked_ns, GAP_MS, now))
+		fb_paused(fb, (now - fb->ticked_ns) / NS_PER_MS, now);
+	fb->ticked_ns = now;
+	fb_tick_openings(fb, now);
+	fb_tick_searches(fb, now);
+	if (fb_passed(fb->greeted_ns,
+		fb_passed(fb->began_ns, YOUNG_MS, now) ? GREET_MS
+						       : GREET_YOUNG_MS,
+		now)) {
+		fb->greeted_ns = now;
+		greet_seeds(fb, now);
+		greet_near(fb, now);
+		peers_expire(&fb->peers, now);
+		agents_expire(&fb->agents, now);
+	}
+	if (fb_passed(fb->greeted_far_ns, GREET_FAR_MS, now)) {
+		fb->greeted_far_ns = now;
+		greet_far(fb, now);
+	}
+}
+
+void
+fb_leave(struct fb *fb, uint64_t now)
+{
+	fb->leaving = true;
+	tell_peers(fb, now);
+}
--- /dev/null
+++ b/src/flow/balancer_open.c
@@ -0,0 +1,182 @@
+#include "flow/balancer_parts.h"
+
+#include "base/clock.h"
+#include "base/event.h"
+
+#include <string.h>
+
+/** An opening that no agent has accepted goes to another after this, ms; an
+ * agent says sooner that its target is silent. */
+#define OFFER_MS 150
+/** An agent that let an opening wait gets no new ones for this, ms. */
+#define AVOID_MS 1000
+
+static void
+offer(struct fb *fb, struct opening *e, struct agent_view *v, uint64_t now)
+{
+	e->tried[e->tried_count++] = v->id;
+	e->offered_ns = now;
+	v->placed++;
+	ctr_inc(fb->ctr, CTR_PLACED);
+	fb_forward(fb, v, (struct str){e->bytes, e->len}, false);
+}
+
+static struct agent_view *
+choose(struct fb *fb, const struct opening *e, uint32_t service, uint64_t now)
+{
+	const struct place_ask ask = {.agents = &fb->agents,
+	    .service = service,
+	    .domain = fb->setup.domain,
+	    .tried = e->tried,
+	    .tried_count = e->tried_count,
+	    .flow = flow_hash(&e->flow),
+	    .now = now};
+
+	return e->tried_count == PLACE_TRIES_MAX ? NULL : place_choose(&ask);
+}
+
+/* The service chosen first, then the others that the address leads to. */
+static struct agent_view *
+choose_any(struct fb *fb, const struct opening *e, uint64_t now)
+{
+	const struct flow_route *route =
+	    routes_find(&fb->routes, e->flow.service);
+	struct agent_view *v = choose(fb, e, e->service, now);
+
+	if (route == NULL)
+		return NULL;
+	for (size_t i = 0; v == NULL && i < route->count; i++) {
+		if (route->shares[i].weight > 0)
+			v = choose(fb, e, route->shares[i].service, now);
+	}
+	return v;
+}
+
+/* Offer an opening to the next agent, or tell the caller that none is left. */
+static void
+offer_next(struct fb *fb, struct opening *e, uint64_t now)
+{
+	struct agent_view *v = choose_any(fb, e, now);
+
+	if (v != NULL) {
+		offer(fb, e, v, now);
+		return;
+	}
+	if (!fb_warm(fb, now) && e->tried_count == 0)
+		return; /* agents are still coming: the tick tries again */
+	fb_reset(fb, &e->flow, 0, CTR_REFUSE_NO_TARGET);
+	openings_drop(&fb->openings, e);
+}
+
+static void
+avoid(struct fb *fb, uint64_t agent, uint64_t now)
+{
+	struct agent_view *v = agents_find(&fb->agents, agent);
+
+	if (v != NULL)
+		v->avoid_until_ns = now + AVOID_MS * NS_PER_MS;
+}
+
+static void
+repeat_opening(struct fb *fb, struct opening *e, uint64_t now)
+{
+	if (e->tried_count > 0 && !fb_passed(e->offered_ns, OFFER_MS, now))
+		return;
+	if (e->tried_count > 0) {
+		avoid(fb, opening_agent(e), now);
+		ctr_inc(fb->ctr, CTR_RETRY_UNANSWERED);
+	}
+	offer_next(fb, e, now);
+}
+
+void
+fb_open_flow(struct fb *fb, const struct flow_packet *p,
+    const struct flow_route *route, uint64_t now)
+{
+	struct opening *e = openings_find(&fb->openings, &p->flow);
+	uint64_t owner = hint_get(fb->hints, &p->flow);
+	struct agent_view *v = agents_find(&fb->agents, owner);
+	size_t pick = routes_pick(route, flow_hash(&p->flow));
+
+	if (e != NULL) {
+		repeat_opening(fb, e, now);
+		return;
+	}
+	if (v != NULL && !agents_silent(v, now)) {
+		/* Accepted, but the caller has not heard of it. */
+		fb_forward(fb, v, p->bytes, false);
+		return;
+	}
+	if (pick == route->count) {
+		fb_reset(fb, &p->flow, p->ack, CTR_REFUSE_NO_TARGET);
+		return;
+	}
+	e = openings_add(&fb->openings, p, route->shares[pick].service, now);
+	offer_next(fb, e, now);
+}
+
+void
+fb_on_accepted(struct fb *fb, const struct flow_msg *m, uint64_t now)
+{
+	struct opening *e = openings_find(&fb->openings, &m->u.flow.flow);
+
+	agents_load(&fb->agents, m);
+	if (hint_set(fb->hints, &m->u.flow.flow, m->from))
+		ctr_inc(fb->ctr, CTR_EVICT_HINT);
+	ctr_inc(fb->ctr, CTR_HINTS);
+	if (e == NULL)
+		return;
+	latency_note(&fb->opening, now - e->first_ns);
+	openings_drop(&fb->openings, e);
+}
+
+static enum counter
+refusal_counter(enum flow_refusal r)
+{
+	switch (r) {
+	case FLOW_REFUSED_SERVICE:
+		return CTR_RETRY_SERVICE;
+	case FLOW_REFUSED_LEAVING:
+		return CTR_RETRY_LEAVING;
+	case FLOW_REFUSED_SILENT:
+		return CTR_RETRY_UNANSWERED;
+	case FLOW_REFUSED_FULL:
+		break;
+	}
+	return CTR_RETRY_FULL;
+}
+
+void
+fb_on_refused(struct fb *fb, const struct flow_msg *m, uint64_t now)
+{
+	struct opening *e = openings_find(&fb->openings, &m->u.flow.flow);
+	char caller[ADDR_TEXT_MAX], agent[ADDR_TEXT_MAX];
+
+	agents_load(&fb->agents, m);
+	if (hint_get(fb->hints, &m->u.flow.flow) == m->from)
+		hint_drop(fb->hints, &m->u.flow.flow);
+	if (m->u.flow.refusal != FLOW_REFUSED_FULL)
+		avoid(fb, m->from, now);
+	if (e == NULL || opening_agent(e) != m->from)
+		return;
+	ctr_inc(fb->ctr, refusal_counter(m->u.flow.refusal));
+	event("opening_refused", "s:s, s:s, s:s, s:i", "caller",
+	    addr_text(addr_unpack(e->flow.caller), caller), "agent",
+	    addr_text(addr_unpack(m->from), agent), "reason",
+	    ctr_name(refusal_counter(m->u.flow.refusal)), "tries",
+	    (int)e->tried_count);
+	offer_next(fb, e, now);
+}
+
+void
+fb_tick_openings(struct fb *fb, uint64_t now)
+{
+	struct opening *e, *next;
+
+	ctr_add(fb->ctr, CTR_DROP_OPENING, openings_expire(&fb->openings, now));
+	HASH_ITER(hh, fb->openings.table, e, next)
+	{
+		if (e->tried_count == 0)
+			offer_next(fb, e, now);
+	}
+}
--- a/src/task/store.c
+++ b/src/task/store.c
@@ -21,7 +21,7 @@
  * taken together. A tenth of the bound within which one must be in force. */
 #define SETTLE_MS 300U
 /** Calls that the budget saves up. */
-#define BURST 8
+#define BURST UINT64_C(8)
 
 /** One kind of call, repeated until it is done. */
 struct errand {
