balancer: ready sooner, and certain only when others hear the same agents

Change: before 5 s are over a flow is gone for certain only when every other balancer's set of agents is the same.

--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -67,37 +67,47 @@
 }
 
 /*
- * Whether a flow that no agent claims is gone for certain: none must be
- * missing here that restarts just now and that another balancer still waits
- * for.
+ * Whether this balancer hears as many agents as each other that was heard
+ * lately, or the very same ones. False when there is no other.
  */
-bool
-fb_certain(const struct fb *fb, uint64_t now)
+static bool
+agrees(const struct fb *fb, bool same, uint64_t now)
 {
 	uint64_t digest;
 	size_t known = agents_recent(&fb->agents, now, &digest);
 	size_t compared = 0;
 	struct peer *e, *next;
 
-	if (!fb_warm(fb, now) || now < fb->trusted_ns || known == 0)
-		return false;
-	if (fb_passed(fb->began_ns, RETURN_MS, now))
-		return true;
 	HASH_ITER(hh, fb->peers.table, e, next)
 	{
 		if (!fb_heard_lately(e, now))
 			continue;
-		if (e->agents > known)
+		if (e->agents > known || (same && e->agent_set != digest))
 			return false;
 		compared++;
 	}
-	return compared > 0;
+	return compared > 0 && known > 0;
+}
+
+/*
+ * Whether a flow that no agent claims is gone for certain: an agent that
+ * restarts or stands still just now, which a young balancer has never heard
+ * and others wait for, may hold it. As many agents are not the same ones.
+ */
+bool
+fb_certain(const struct fb *fb, uint64_t now)
+{
+	if (!fb_warm(fb, now) || now < fb->trusted_ns ||
+	    agents_live(&fb->agents, now) == 0)
+		return false;
+	return fb_passed(fb->began_ns, RETURN_MS, now) || agrees(fb, true, now);
 }
 
 bool
 fb_ready(const struct fb *fb, uint64_t now)
 {
-	return !fb->leaving && fb->routes.version != 0 && fb_warm(fb, now) &&
+	return !fb->leaving && fb->routes.version != 0 &&
+	       (fb_warm(fb, now) || agrees(fb, false, now)) &&
 	       (now < fb->trusted_ns || agents_live(&fb->agents, now) > 0);
 }
 
--- a/src/flow/peers.c
+++ b/src/flow/peers.c
@@ -63,6 +63,7 @@
 	e->version = b->version;
 	e->leaving = b->leaving;
 	e->agents = b->agents;
+	e->agent_set = b->agent_set;
 	e->capacity = b->capacity;
 	str_copy(e->domain, sizeof(e->domain), str_of(b->domain));
 	return is_new;
--- a/src/flow/peers.h
+++ b/src/flow/peers.h
@@ -22,6 +22,7 @@
 	uint64_t version;   /**< configuration in force there */
 	char domain[FLOW_NAME_MAX];
 	uint32_t agents;     /**< that it has heard lately */
+	uint64_t agent_set;  /**< digest of them */
 	uint32_t capacity;   /**< thousandths of a core */
 	uint32_t domain_tag; /**< of its failure domain, 0 if not known */
 	bool leaving;
--- a/tests/unit/script_flow_balancer.c
+++ b/tests/unit/script_flow_balancer.c
@@ -161,7 +161,7 @@
 	fb_message(&fb, &m, script_now_ns);
 }
 
-/* peer BALANCER DOMAIN VERSION AGENTS [CAPACITY] */
+/* peer BALANCER DOMAIN VERSION AGENTS [CAPACITY [1 for other agents]] */
 void
 do_peer(const char *arg, const char *body)
 {
@@ -177,6 +177,9 @@
 	m.u.balancer.capacity =
 	    w.count > 4 ? words_number(&w, 4) : fb.setup.capacity;
 	m.u.balancer.peers = peers_digest(&fb.peers);
+	/* By default as many agents are the same ones. */
+	agents_recent(&fb.agents, script_now_ns, &m.u.balancer.agent_set);
+	m.u.balancer.agent_set += words_number(&w, 5);
 	fb_message(&fb, &m, script_now_ns);
 	say("  watches %s, newer at %s\n",
 	    fb_watches(&fb, script_now_ns) ? "yes" : "no",
