gossip: lists go to few, within a budget; far balancers are greeted in turn

Cause: with more than 64 balancers or agents the tables never agreed, for a list held 64 and a far balancer was heard by chance, every 25 s at 76 of them, after which it was forgotten.

Change: a list travels whole, in parts; the same list to the same process at most every 2 s, 3 parts a second in all, 1,024 saved up; among more than 16 balancers about six answer. Far balancers are greeted in turn, a sixth in a second; of near ones 16 in a round, all by those that watch. Tables are kept longer the larger they are, heartbeats are as rare as balancers are many, and an agent is forgotten only after it is silent. Digests are kept up, not summed for each message; candidates of a flow are found once for each domain.

Ruled out: heartbeats themselves (5 kB/s received at 76 and 224).

--- a/src/flow/agent.h
+++ b/src/flow/agent.h
@@ -110,6 +110,8 @@
 void fa_tick(struct fa *fa, uint64_t now);
 /** This process stood still. */
 void fa_paused(struct fa *fa, uint64_t gap_ms, uint64_t now);
+/** Period in which an agent asks a balancer for its list, ms. */
+uint64_t fa_ask_ms(const struct fa *fa);
 /** The store names a balancer: tell it of this agent. */
 void fa_meet(struct fa *fa, uint64_t id, uint64_t now);
 /** A stop was asked for. */
--- a/src/flow/agent_members.c
+++ b/src/flow/agent_members.c
@@ -11,13 +11,18 @@
 /** Heartbeat: this, and more for each balancer that gets it, ms. */
 #define TELL_MS 400
 #define TELL_EACH_MS 25
-#define TELL_MAX_MS 3000
+#define TELL_MAX_MS 20000
 /** Balancers of other failure domains get every such heartbeat: bytes between
  * domains cost, and they turn to this agent only when their own are full. */
 #define FAR_ROUNDS 3
-/** At most this in the first seconds, while balancers are still found, ms. */
+/** In the first seconds, while balancers are still found, ms; and for each
+ * of many, so that all starting together does not flood them. */
 #define TELL_YOUNG_MS 250
+#define TELL_YOUNG_EACH_MS 10
 #define YOUNG_MS 3000
+/** Among so many balancers a young agent tells those of the other failure
+ * domains each time too. */
+#define FEW_BALANCERS 32
 /** Time between two tries whether the target listens, ms. */
 #define TRY_MS 500
 /** Requests that wait while nothing at all comes from the target for this are
@@ -28,8 +33,9 @@
 /** Rounds of heartbeats that follow a change of state at once. */
 #define TELL_TWICE 2
 /** A list of balancers is asked for this often, ms: some times before one
- * that is not heard of is forgotten, PEER_FORGET_MS. */
+ * that is not heard of is forgotten, peers_forget_ms(). */
 #define ASK_MS 4000
+#define ASK_EACH_MS 60
 /** Flows are looked through for old ones this often, ms. */
 #define EXPIRE_MS 1000
 
@@ -37,11 +43,14 @@
 static uint64_t
 period_ms(const struct fa *fa, uint64_t now)
 {
-	uint64_t ms = TELL_MS + TELL_EACH_MS * peers_count(&fa->peers);
-
-	if (!fa_passed(fa->target.began_ns, YOUNG_MS, now) &&
-	    ms > TELL_YOUNG_MS)
-		return TELL_YOUNG_MS;
+	uint64_t known = peers_count(&fa->peers);
+	uint64_t ms = TELL_MS + TELL_EACH_MS * known;
+	uint64_t young_ms = TELL_YOUNG_EACH_MS * known;
+
+	if (young_ms < TELL_YOUNG_MS)
+		young_ms = TELL_YOUNG_MS;
+	if (!fa_passed(fa->target.began_ns, YOUNG_MS, now) && ms > young_ms)
+		return young_ms;
 	return ms < TELL_MAX_MS ? ms : TELL_MAX_MS;
 }
 
@@ -106,7 +115,7 @@
 	for (uint32_t i = 0; i < list->count; i++) {
 		uint64_t age = list->peers[i].age_ms * NS_PER_MS;
 
-		if (age > now || age > PEER_FORGET_MS * NS_PER_MS)
+		if (age > now || age > peers_forget_ms(&fa->peers) * NS_PER_MS)
 			continue;
 		if (peers_note(&fa->peers, list->peers[i].id, now - age,
 			list->peers[i].domain))
@@ -202,12 +211,20 @@
 	fa_reset_all(fa, now);
 }
 
+uint64_t
+fa_ask_ms(const struct fa *fa)
+{
+	uint64_t ms = ASK_EACH_MS * (uint64_t)peers_count(&fa->peers);
+
+	return ms > ASK_MS ? ms : ASK_MS;
+}
+
 static void
 tell_all(struct fa *fa, bool far, uint64_t now)
 {
 	size_t known = peers_count(&fa->peers);
 	/* One of them is asked for its list, another one each time. */
-	size_t whom = fa_passed(fa->asked_ns, ASK_MS, now) && known > 0
+	size_t whom = known > 0 && fa_passed(fa->asked_ns, fa_ask_ms(fa), now)
 			  ? (size_t)(fa->sequence % known)
 			  : SIZE_MAX;
 	size_t at = 0;
@@ -251,7 +268,8 @@
 	}
 	if (fa->tell_again > 0 ||
 	    fa_passed(fa->told_ns, period_ms(fa, now), now)) {
-		bool young = !fa_passed(fa->target.began_ns, YOUNG_MS, now);
+		bool young = !fa_passed(fa->target.began_ns, YOUNG_MS, now) &&
+			     peers_count(&fa->peers) <= FEW_BALANCERS;
 		bool far = fa->tell_again > 0 || young ||
 			   fa->rounds++ % FAR_ROUNDS == 0;
 
--- a/src/flow/agents.c
+++ b/src/flow/agents.c
@@ -145,14 +145,24 @@
 		v->placed--;
 }
 
+static uint64_t
+silent_ms(const struct agent_view *v)
+{
+	return (uint64_t)AGENT_MISSES * v->said.period_ms + AGENT_LATE_MS;
+}
+
 bool
 agents_silent(const struct agent_view *v, uint64_t now)
 {
-	uint64_t bound =
-	    ((uint64_t)AGENT_MISSES * v->said.period_ms + AGENT_LATE_MS) *
-	    NS_PER_MS;
+	return now > v->heard_ns + silent_ms(v) * NS_PER_MS;
+}
+
+static uint64_t
+forget_ms(const struct agent_view *v)
+{
+	uint64_t ms = silent_ms(v) + AGENT_FORGET_SILENT_MS;
 
-	return now > v->heard_ns + bound;
+	return ms > AGENT_FORGET_MS ? ms : AGENT_FORGET_MS;
 }
 
 void
@@ -162,7 +172,7 @@
 
 	HASH_ITER(hh, a->table, v, next)
 	{
-		if (now > v->heard_ns + AGENT_FORGET_MS * NS_PER_MS)
+		if (now > v->heard_ns + forget_ms(v) * NS_PER_MS)
 			forget(a, v);
 	}
 }
@@ -186,46 +196,46 @@
 	return now < v->heard_ns + AGENT_RETURN_MS * NS_PER_MS;
 }
 
+static bool
+recent(const struct agent_view *v, uint64_t now)
+{
+	return !agents_silent(v, now) || agents_awaited(v, now);
+}
+
 size_t
 agents_recent(const struct agents *a, uint64_t now, uint64_t *digest)
 {
-	size_t recent = 0;
+	size_t count = 0;
 	struct agent_view *v, *next;
 
 	*digest = 0;
 	HASH_ITER(hh, a->table, v, next)
 	{
-		if (!agents_awaited(v, now))
+		if (!recent(v, now))
 			continue;
-		recent++;
+		count++;
 		*digest ^= XXH3_64bits(&v->id, sizeof(v->id));
 	}
-	return recent;
+	return count;
 }
 
-void
-agents_list(const struct agents *a, uint64_t now, struct msg_peers *out)
+size_t
+agents_list(
+    const struct agents *a, size_t from, uint64_t now, struct msg_peers *out)
 {
-	size_t known = HASH_COUNT(a->table);
-	size_t skip = 0;
+	size_t at = 0;
 	struct agent_view *v, *next;
 
 	out->agents = true;
 	out->count = 0;
-	if (known > FLOW_PEERS_MAX)
-		skip = (size_t)(now / NS_PER_MS) % (known - FLOW_PEERS_MAX + 1);
 	HASH_ITER(hh, a->table, v, next)
 	{
-		if (skip > 0) {
-			skip--;
+		if (at++ < from || !recent(v, now))
 			continue;
-		}
 		if (out->count == FLOW_PEERS_MAX)
-			break;
-		if (agents_awaited(v, now))
-			out->peers[out->count++] = (struct msg_peer){
-			    .id = v->id,
-			    .age_ms =
-				(uint32_t)((now - v->heard_ns) / NS_PER_MS)};
+			return at - 1;
+		out->peers[out->count++] = (struct msg_peer){.id = v->id,
+		    .age_ms = (uint32_t)((now - v->heard_ns) / NS_PER_MS)};
 	}
+	return 0;
 }
--- a/src/flow/agents.h
+++ b/src/flow/agents.h
@@ -6,6 +6,7 @@
 #ifndef PW_AGENTS_H
 #define PW_AGENTS_H
 
+#include "flow/gossip.h"
 #include "flow/message.h"
 
 #include <uthash.h>
@@ -19,8 +20,10 @@
  * ms: a planned stop and start takes less. After it nobody waits for it. */
 #define AGENT_RETURN_MS 4000
 /** A silent agent is forgotten after this, ms: longer than a planned restart
- * and than the cuts that are seen. */
+ * and than the cuts that are seen; and no sooner than this after it was
+ * found silent, whatever the period of its heartbeats. */
 #define AGENT_FORGET_MS 15000
+#define AGENT_FORGET_SILENT_MS 5000
 
 /** One agent. */
 struct agent_view {
@@ -35,6 +38,7 @@
 	uint32_t placed;	 /**< flows given to it since it last said */
 	struct agent_group *group;
 	struct msg_find questions; /**< to be sent together */
+	struct gossip_told told;   /**< list of balancers that it got */
 	UT_hash_handle hh;
 };
 
@@ -71,7 +75,7 @@
 void agents_load(struct agents *a, const struct flow_msg *m);
 /** Whether an agent has missed its heartbeats. */
 bool agents_silent(const struct agent_view *v, uint64_t now);
-/** Forget agents that were silent for AGENT_FORGET_MS. */
+/** Forget agents that were silent for long, AGENT_FORGET_MS. */
 void agents_expire(struct agents *a, uint64_t now);
 /** Agents that are not silent. */
 size_t agents_live(const struct agents *a, uint64_t now);
@@ -82,7 +86,12 @@
  * @param digest of who they are; the order does not matter
  */
 size_t agents_recent(const struct agents *a, uint64_t now, uint64_t *digest);
-/** Write a list of them, from a place that moves on when it is too long. */
-void agents_list(const struct agents *a, uint64_t now, struct msg_peers *out);
+/**
+ * Write a part of the list of them.
+ * @param from 0, then what the part before returned
+ * @return where the next part begins; 0 when this was the last
+ */
+size_t agents_list(
+    const struct agents *a, size_t from, uint64_t now, struct msg_peers *out);
 
 #endif
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -25,6 +25,7 @@
 	fb->openings.capacity = OPENINGS_MAX;
 	fb->searches.capacity = SEARCHES_MAX;
 	fb->peers.self = setup->id;
+	gossip_init(&fb->gossip);
 	fb->peers.domain_tag = flow_service_tag(str_of(setup->domain));
 	fb->began_ns = now;
 	fb->ticked_ns = now;
@@ -66,6 +67,18 @@
 	       !fb_passed(e->direct_ns, WATCHER_LOST_MS, now);
 }
 
+size_t
+fb_recent_agents(struct fb *fb, uint64_t *digest, uint64_t now)
+{
+	if (fb->recent_ns == 0 || fb_passed(fb->recent_ns, FB_TICK_MS, now)) {
+		fb->recent_ns = now;
+		fb->recent_count =
+		    agents_recent(&fb->agents, now, &fb->recent_digest);
+	}
+	*digest = fb->recent_digest;
+	return fb->recent_count;
+}
+
 /*
  * Whether this balancer hears as many agents as each other that was heard
  * lately, or the very same ones. False when there is no other.
@@ -149,7 +162,7 @@
 	m.u.balancer.version = fb->routes.version;
 	m.u.balancer.peers = peers_digest(&fb->peers);
 	m.u.balancer.agents =
-	    (uint32_t)agents_recent(&fb->agents, now, &m.u.balancer.agent_set);
+	    (uint32_t)fb_recent_agents(fb, &m.u.balancer.agent_set, now);
 	m.u.balancer.capacity = fb->setup.capacity;
 	m.u.balancer.leaving = fb->leaving;
 	fb_send(fb, to, &m);
--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -66,6 +66,12 @@
 	uint64_t trusted_ns; /**< silence before this proves nothing */
 	uint64_t greeted_ns;
 	uint64_t greeted_far_ns;
+	struct gossip gossip;
+	struct turn near_turn;	/**< heartbeats to the own failure domain */
+	struct turn far_turn;	/**< and to the others */
+	uint64_t recent_ns;	/**< when the next two were counted, or 0 */
+	size_t recent_count;	/**< agents heard lately */
+	uint64_t recent_digest; /**< of them */
 	bool leaving;
 };
 
--- a/src/flow/balancer_members.c
+++ b/src/flow/balancer_members.c
@@ -10,10 +10,17 @@
 /** The same in the first seconds, while it looks for the others, ms. */
 #define GREET_YOUNG_MS 150
 #define YOUNG_MS 3000
+/** Of them that get it in one round, in turn: each hears it within a fraction
+ * of WATCHER_LOST_MS in a domain of 48, and at more it is bounded. One that
+ * watches the configuration greets all: who must not watch learns it so. */
+#define GREET_NEAR_MOST 16
 /** Heartbeat to some of the others, ms. */
 #define GREET_FAR_MS 1000
-/** Others that get a heartbeat in one round. */
-#define GREET_FAR_COUNT 3
+/** Others that get a heartbeat in one round: a sixth, so that each gets one in
+ * a fraction of PEER_FORGET_MS, and no fewer and no more than this. */
+#define GREET_FAR_SHARE 6
+#define GREET_FAR_LEAST 3
+#define GREET_FAR_MOST 24
 /** Most balancers that are told of a new version at once. */
 #define TELL_MAX 32
 /** A longer gap between ticks means that this process stood still, ms. */
@@ -28,23 +35,57 @@
 /** Balancers of one failure domain that watch the configuration. */
 #define WATCHERS 2
 
+/* Parts of a list of so many. */
+static size_t
+parts_of(size_t count)
+{
+	return count / FLOW_PEERS_MAX + 1;
+}
+
 static void
-send_list(struct fb *fb, uint64_t to, uint64_t now)
+send_list(struct fb *fb, uint64_t to, struct gossip_told *told, uint64_t now)
 {
 	struct flow_msg m = {.kind = FLOW_MSG_PEERS};
+	size_t from = 0;
 
-	peers_list(&fb->peers, now, &m.u.peers);
-	fb_send(fb, to, &m);
+	if (!gossip_may_tell(&fb->gossip, told, peers_digest(&fb->peers),
+		parts_of(peers_count(&fb->peers)), now)) {
+		ctr_inc(fb->ctr, CTR_CONTROL_CUT);
+		return;
+	}
+	do {
+		from = peers_list(&fb->peers, from, now, &m.u.peers);
+		fb_send(fb, to, &m);
+		ctr_inc(fb->ctr, CTR_LISTS);
+	} while (from != 0);
 }
 
 static void
-send_agents(struct fb *fb, uint64_t to, uint64_t now)
+send_agents(struct fb *fb, struct peer *e, uint64_t now)
 {
 	struct flow_msg m = {.kind = FLOW_MSG_PEERS};
+	uint64_t digest;
+	size_t known = fb_recent_agents(fb, &digest, now);
+	size_t from = 0;
 
-	agents_list(&fb->agents, now, &m.u.peers);
-	if (m.u.peers.count > 0)
-		fb_send(fb, to, &m);
+	if (known == 0)
+		return;
+	if (!gossip_may_tell(
+		&fb->gossip, &e->told_agents, digest, parts_of(known), now)) {
+		ctr_inc(fb->ctr, CTR_CONTROL_CUT);
+		return;
+	}
+	do {
+		from = agents_list(&fb->agents, from, now, &m.u.peers);
+		fb_send(fb, e->id, &m);
+		ctr_inc(fb->ctr, CTR_LISTS);
+	} while (from != 0);
+}
+
+static bool
+answers(struct fb *fb)
+{
+	return gossip_answers(&fb->rng, peers_count(&fb->peers));
 }
 
 void
@@ -53,15 +94,19 @@
 	struct agent_view *before = agents_find(&fb->agents, m->from);
 	enum target_state was =
 	    before == NULL ? TARGET_UNKNOWN : before->said.state;
+	bool was_lost = before != NULL && agents_silent(before, now);
 	struct agent_view *v = agents_heard(&fb->agents, m, now);
 	char agent[ADDR_TEXT_MAX];
 
 	if (v == NULL)
 		return;
+	if (before == NULL || was_lost)
+		fb->recent_ns = 0;
 	if (m->u.agent.gone) {
 		event("agent_gone", "s:s", "agent",
 		    addr_text(addr_unpack(m->from), agent));
 		agents_forget(&fb->agents, m->from);
+		fb->recent_ns = 0;
 		return;
 	}
 	if (fb->first_agent_ns == 0) {
@@ -73,8 +118,10 @@
 		    addr_text(addr_unpack(m->from), agent), "state",
 		    (int)v->said.state, "was", (int)was, "incarnation",
 		    (json_int_t)v->incarnation);
-	if (m->u.agent.peers != peers_digest(&fb->peers))
-		send_list(fb, m->from, now);
+	/* No digest at all asks for the list. */
+	if (m->u.agent.peers == 0 ||
+	    (m->u.agent.peers != peers_digest(&fb->peers) && answers(fb)))
+		send_list(fb, m->from, &v->told, now);
 }
 
 void
@@ -82,18 +129,22 @@
 {
 	char peer[ADDR_TEXT_MAX];
 	uint64_t digest;
+	bool is_new = peers_heard(&fb->peers, m->from, &m->u.balancer, now);
+	struct peer *e = peers_find(&fb->peers, m->from);
 
-	if (peers_heard(&fb->peers, m->from, &m->u.balancer, now)) {
+	if (e == NULL)
+		return;
+	if (is_new) {
 		event("balancer", "s:s, s:s", "balancer",
 		    addr_text(addr_unpack(m->from), peer), "domain",
 		    m->u.balancer.domain);
 		fb_greet(fb, m->from, now);
 	}
-	if (m->u.balancer.peers != peers_digest(&fb->peers))
-		send_list(fb, m->from, now);
-	agents_recent(&fb->agents, now, &digest);
-	if (m->u.balancer.agent_set != digest)
-		send_agents(fb, m->from, now);
+	if (m->u.balancer.peers != peers_digest(&fb->peers) && answers(fb))
+		send_list(fb, m->from, &e->told, now);
+	fb_recent_agents(fb, &digest, now);
+	if (m->u.balancer.agent_set != digest && answers(fb))
+		send_agents(fb, e, now);
 }
 
 /* Agents that another balancer hears are asked to tell this one too. */
@@ -116,7 +167,7 @@
 	for (uint32_t i = 0; i < list->count; i++) {
 		uint64_t age = list->peers[i].age_ms * NS_PER_MS;
 
-		if (age > now || age > PEER_FORGET_MS * NS_PER_MS)
+		if (age > now || age > peers_forget_ms(&fb->peers) * NS_PER_MS)
 			continue;
 		if (peers_note(&fb->peers, list->peers[i].id, now - age,
 			list->peers[i].domain))
@@ -258,30 +309,43 @@
 	}
 }
 
+/* Greet some of the balancers of the own failure domain, or of the others. */
 static void
-greet_near(struct fb *fb, uint64_t now)
+greet_some(
+    struct fb *fb, bool near, struct turn *turn, size_t most, uint64_t now)
 {
+	size_t many = peers_near_count(&fb->peers);
+	struct turn_round round = turn_begin(
+	    turn, near ? many : peers_count(&fb->peers) - many, most);
+	size_t place = 0;
 	struct peer *e, *next;
 
 	HASH_ITER(hh, fb->peers.table, e, next)
 	{
-		if (e->direct_ns == 0 ||
-		    strcmp(e->domain, fb->setup.domain) == 0)
+		if (peers_near(&fb->peers, e) == near &&
+		    turn_takes(&round, place++))
 			fb_greet(fb, e->id, now);
 	}
 }
 
 static void
-greet_far(struct fb *fb, uint64_t now)
+greet_near(struct fb *fb, uint64_t now)
 {
-	uint64_t known = peers_count(&fb->peers);
-	struct peer *e, *next;
+	greet_some(fb, true, &fb->near_turn,
+	    fb_watches(fb, now) ? SIZE_MAX : GREET_NEAR_MOST, now);
+}
 
-	HASH_ITER(hh, fb->peers.table, e, next)
-	{
-		if (rng_below(&fb->rng, known) < GREET_FAR_COUNT)
-			fb_greet(fb, e->id, now);
-	}
+static void
+greet_far(struct fb *fb, uint64_t now)
+{
+	size_t far = peers_count(&fb->peers) - peers_near_count(&fb->peers);
+	size_t most = far / GREET_FAR_SHARE;
+
+	if (most < GREET_FAR_LEAST)
+		most = GREET_FAR_LEAST;
+	if (most > GREET_FAR_MOST)
+		most = GREET_FAR_MOST;
+	greet_some(fb, false, &fb->far_turn, most, now);
 }
 
 /* How late ticks come; halves with each tick that is on time. */
@@ -307,6 +371,7 @@
 {
 	note_lag(fb, now);
 	fb_earn_credit(fb, now - fb->ticked_ns);
+	gossip_earn(&fb->gossip, now - fb->ticked_ns);
 	if (fb_passed(fb->ticked_ns, GAP_MS, now))
 		fb_paused(fb, (now - fb->ticked_ns) / NS_PER_MS, now);
 	fb->ticked_ns = now;
--- a/src/flow/balancer_parts.h
+++ b/src/flow/balancer_parts.h
@@ -13,6 +13,8 @@
 bool fb_passed(uint64_t since, uint64_t ms, uint64_t now);
 /** Whether every agent has had time for a heartbeat. */
 bool fb_warm(const struct fb *fb, uint64_t now);
+/** Agents heard lately and the digest of them, at most a tick old. */
+size_t fb_recent_agents(struct fb *fb, uint64_t *digest, uint64_t now);
 /** Whether a balancer was heard lately, from itself. */
 bool fb_heard_lately(const struct peer *e, uint64_t now);
 /** Whether a flow that no agent claims is gone for certain. */
--- a/src/flow/peers.c
+++ b/src/flow/peers.c
@@ -5,6 +5,20 @@
 #include <stdlib.h>
 #include <xxhash.h>
 
+static uint64_t
+mix(uint64_t id)
+{
+	return id == 0 ? 0 : XXH3_64bits(&id, sizeof(id));
+}
+
+static void
+forget(struct peers *p, struct peer *e)
+{
+	p->digest ^= mix(e->id);
+	HASH_DEL(p->table, e);
+	free(e);
+}
+
 void
 peers_clear(struct peers *p)
 {
@@ -12,8 +26,7 @@
 
 	HASH_ITER(hh, p->table, e, next)
 	{
-		HASH_DEL(p->table, e);
-		free(e);
+		forget(p, e);
 	}
 }
 
@@ -46,6 +59,7 @@
 	e->heard_ns = heard_ns;
 	e->domain_tag = domain_tag;
 	HASH_ADD(hh, p->table, id, sizeof(e->id), e);
+	p->digest ^= mix(id);
 	return true;
 }
 
@@ -69,37 +83,31 @@
 	return is_new;
 }
 
+uint64_t
+peers_forget_ms(const struct peers *p)
+{
+	uint64_t ms = PEER_FORGET_EACH_MS * (uint64_t)HASH_COUNT(p->table);
+
+	return ms > PEER_FORGET_MS ? ms : PEER_FORGET_MS;
+}
+
 void
 peers_expire(struct peers *p, uint64_t now)
 {
+	uint64_t forget_ns = peers_forget_ms(p) * NS_PER_MS;
 	struct peer *e, *next;
 
 	HASH_ITER(hh, p->table, e, next)
 	{
-		if (now - e->heard_ns < PEER_FORGET_MS * NS_PER_MS)
-			continue;
-		HASH_DEL(p->table, e);
-		free(e);
+		if (now - e->heard_ns >= forget_ns)
+			forget(p, e);
 	}
 }
 
-static uint64_t
-mix(uint64_t id)
-{
-	return id == 0 ? 0 : XXH3_64bits(&id, sizeof(id));
-}
-
 uint64_t
 peers_digest(const struct peers *p)
 {
-	uint64_t sum = mix(p->self);
-	struct peer *e, *next;
-
-	HASH_ITER(hh, p->table, e, next)
-	{
-		sum ^= mix(e->id);
-	}
-	return sum;
+	return p->digest ^ mix(p->self);
 }
 
 static void
@@ -110,30 +118,26 @@
 	    (struct msg_peer){id, (uint32_t)(age_ns / NS_PER_MS), domain_tag};
 }
 
-void
-peers_list(const struct peers *p, uint64_t now, struct msg_peers *out)
+size_t
+peers_list(
+    const struct peers *p, size_t from, uint64_t now, struct msg_peers *out)
 {
-	size_t known = HASH_COUNT(p->table);
-	size_t skip = 0;
+	size_t at = 0;
 	struct peer *e, *next;
 
 	out->count = 0;
-	if (p->self != 0)
+	if (p->self != 0 && from == 0)
 		list_one(out, p->self, 0, p->domain_tag);
-	/* A table too large for one list is told part by part. */
-	if (known >= FLOW_PEERS_MAX)
-		skip = (size_t)(now / NS_PER_MS) % (known - FLOW_PEERS_MAX + 2);
 	HASH_ITER(hh, p->table, e, next)
 	{
-		if (skip > 0) {
-			skip--;
+		if (at++ < from)
 			continue;
-		}
 		if (out->count == FLOW_PEERS_MAX)
-			break;
+			return at - 1;
 		list_one(out, e->id, now > e->heard_ns ? now - e->heard_ns : 0,
 		    e->domain_tag);
 	}
+	return 0;
 }
 
 size_t
@@ -147,3 +151,16 @@
 {
 	return e->domain_tag == 0 || e->domain_tag == p->domain_tag;
 }
+
+size_t
+peers_near_count(const struct peers *p)
+{
+	size_t count = 0;
+	struct peer *e, *next;
+
+	HASH_ITER(hh, p->table, e, next)
+	{
+		count += peers_near(p, e) ? 1 : 0;
+	}
+	return count;
+}
--- a/src/flow/peers.h
+++ b/src/flow/peers.h
@@ -6,13 +6,15 @@
 #ifndef PW_PEERS_H
 #define PW_PEERS_H
 
+#include "flow/gossip.h"
 #include "flow/message.h"
 
 #include <uthash.h>
 
 /** A balancer not heard of for so long is forgotten, ms: three of the longest
- * rounds in which lists are exchanged. */
+ * rounds in which lists are exchanged; the rounds grow with their number. */
 #define PEER_FORGET_MS 20000
+#define PEER_FORGET_EACH_MS 250
 
 /** A balancer. */
 struct peer {
@@ -26,12 +28,15 @@
 	uint32_t capacity;   /**< thousandths of a core */
 	uint32_t domain_tag; /**< of its failure domain, 0 if not known */
 	bool leaving;
+	struct gossip_told told;	/**< list of balancers that it got */
+	struct gossip_told told_agents; /**< list of agents that it got */
 	UT_hash_handle hh;
 };
 
 /** All of them but oneself. */
 struct peers {
 	uint64_t self;	     /**< not kept as a peer; 0 at an agent */
+	uint64_t digest;     /**< of the table; peers_digest() adds oneself */
 	uint32_t domain_tag; /**< of the own failure domain */
 	struct peer *table;
 };
@@ -50,14 +55,23 @@
 /** Take in a balancer's own heartbeat. @return whether it is new */
 bool peers_heard(
     struct peers *p, uint64_t id, const struct msg_balancer *b, uint64_t now);
-/** Forget those not heard of for PEER_FORGET_MS. */
+/** How long a balancer is known without being heard of, ms. */
+uint64_t peers_forget_ms(const struct peers *p);
+/** Forget those not heard of for peers_forget_ms(). */
 void peers_expire(struct peers *p, uint64_t now);
 /** Digest of who is known, oneself included; the order does not matter. */
 uint64_t peers_digest(const struct peers *p);
-/** Write a list; oneself comes first, then from a place that moves on. */
-void peers_list(const struct peers *p, uint64_t now, struct msg_peers *out);
+/**
+ * Write a part of the list; oneself comes first.
+ * @param from 0, then what the part before returned
+ * @return where the next part begins; 0 when this was the last
+ */
+size_t peers_list(
+    const struct peers *p, size_t from, uint64_t now, struct msg_peers *out);
 /** Whether a balancer is, or may be, of the own failure domain. */
 bool peers_near(const struct peers *p, const struct peer *e);
+/** Number of them. */
+size_t peers_near_count(const struct peers *p);
 /** Number of balancers known. */
 size_t peers_count(const struct peers *p);
 
--- a/src/flow/place.c
+++ b/src/flow/place.c
@@ -113,20 +113,25 @@
 	return count;
 }
 
-bool
-place_is_candidate(const struct agent_view *v, uint64_t flow)
+void
+place_each_candidate(const struct agent_group *g, uint64_t flow,
+    void (*each)(void *ctx, struct agent_view *v), void *ctx)
 {
-	uint64_t rank = rank_of(v, flow);
-	size_t before = 0;
+	struct agent_view *few[PLACE_CANDIDATES];
 
-	for (size_t i = 0; i < v->group->count; i++) {
-		const struct agent_view *o = v->group->members[i];
+	for (size_t i = 0; i < g->count; i++) {
+		const char *domain = g->members[i]->said.domain;
+		size_t seen = 0;
+		size_t count;
 
-		if (o != v && strcmp(o->said.domain, v->said.domain) == 0 &&
-		    rank_of(o, flow) < rank)
-			before++;
+		while (strcmp(g->members[seen]->said.domain, domain) != 0)
+			seen++;
+		if (seen < i)
+			continue;
+		count = place_candidates(g, domain, flow, few);
+		for (size_t k = 0; k < count; k++)
+			each(ctx, few[k]);
 	}
-	return before < PLACE_CANDIDATES;
 }
 
 /** A choice that is under way. */
@@ -139,8 +144,9 @@
 };
 
 static void
-weigh(struct choice *c, struct agent_view *v)
+weigh(void *ctx, struct agent_view *v)
 {
+	struct choice *c = ctx;
 	const struct place_ask *ask = c->ask;
 	uint64_t cost;
 
@@ -160,27 +166,6 @@
 	c->cost = cost;
 }
 
-/* Weigh the candidates of each failure domain once. */
-static void
-weigh_candidates(struct choice *c, const struct agent_group *g)
-{
-	struct agent_view *few[PLACE_CANDIDATES];
-
-	for (size_t i = 0; i < g->count; i++) {
-		const char *domain = g->members[i]->said.domain;
-		size_t seen = 0;
-		size_t count;
-
-		while (strcmp(g->members[seen]->said.domain, domain) != 0)
-			seen++;
-		if (seen < i)
-			continue;
-		count = place_candidates(g, domain, c->ask->flow, few);
-		for (size_t k = 0; k < count; k++)
-			weigh(c, few[k]);
-	}
-}
-
 struct agent_view *
 place_choose(const struct place_ask *ask)
 {
@@ -190,7 +175,7 @@
 	if (g == NULL)
 		return NULL;
 	c.mean = mean_load(g, ask->now);
-	weigh_candidates(&c, g);
+	place_each_candidate(g, ask->flow, weigh, &c);
 	for (size_t i = 0; c.best == NULL && i < g->count; i++)
 		weigh(&c, g->members[i]);
 	return c.best != NULL ? c.best : c.avoided;
--- a/src/flow/place.h
+++ b/src/flow/place.h
@@ -42,8 +42,9 @@
  */
 size_t place_candidates(const struct agent_group *g, const char *domain,
     uint64_t flow, struct agent_view *out[PLACE_CANDIDATES]);
-/** Whether an agent is one of those of its own failure domain. */
-bool place_is_candidate(const struct agent_view *v, uint64_t flow);
+/** Those of every failure domain, one after the other. */
+void place_each_candidate(const struct agent_group *g, uint64_t flow,
+    void (*each)(void *ctx, struct agent_view *v), void *ctx);
 /** The best agent that was not tried; NULL when none can take the flow. */
 struct agent_view *place_choose(const struct place_ask *ask);
 
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -75,20 +75,33 @@
 	e->pending++;
 }
 
+/** Candidates of a flow that are added to its search. */
+struct tier {
+	struct search *e;
+	const char *domain;
+	bool near;
+	uint64_t now;
+};
+
+static void
+add_candidate(void *ctx, struct agent_view *v)
+{
+	struct tier *t = ctx;
+	bool own = strcmp(v->said.domain, t->domain) == 0;
+
+	if (own == t->near)
+		add(t->e, v, t->now);
+}
+
 /* Candidates of the flow in one service. */
 static void
 add_group(struct search *e, const struct agent_group *g, const char *domain,
     bool near, uint64_t now)
 {
-	uint64_t flow = flow_hash(&e->flow);
+	struct tier t = {e, domain, near, now};
 
-	for (size_t i = 0; g != NULL && i < g->count; i++) {
-		const struct agent_view *v = g->members[i];
-		bool own = strcmp(v->said.domain, domain) == 0;
-
-		if (own == near && place_is_candidate(v, flow))
-			add(e, v, now);
-	}
+	if (g != NULL)
+		place_each_candidate(g, flow_hash(&e->flow), add_candidate, &t);
 }
 
 /* Of each service that its address leads to, or of all if that is unknown. */
--- a/src/task/flow_agent_task.c
+++ b/src/task/flow_agent_task.c
@@ -13,8 +13,9 @@
 #define LONELY_MS 1000
 /** Nothing came of a connection to the target within this, ms. */
 #define TRY_MS 300
-/** They are read again after this while nobody answers, ms. */
-#define LONELY_AGAIN_MS 5000
+/** They are read again after this while nobody answers, ms: it was asked for
+ * a list once more than that, fa_ask_ms(). */
+#define LONELY_AGAIN_MS 1000
 
 struct task_state {
 	struct flow_node node;
@@ -207,9 +208,10 @@
 static void
 look_around(struct task_state *t, uint64_t now)
 {
-	uint64_t wait = t->message_ns == 0 ? LONELY_MS : LONELY_AGAIN_MS;
+	uint64_t again = fa_ask_ms(&t->fa) + LONELY_AGAIN_MS;
+	uint64_t wait = t->message_ns == 0 ? LONELY_MS : again;
 
-	if (now < t->message_ns + LONELY_AGAIN_MS * NS_PER_MS ||
+	if (now < t->message_ns + again * NS_PER_MS ||
 	    now < t->listed_ns + wait * NS_PER_MS)
 		return;
 	t->listed_ns = now;
