tests: flows on a virtual clock, with faults and at size

Cause: the flow modules had scripts and a soak of real processes, which does not repeat; nothing showed what control costs at size. Change: flow-run drives balancers, agents, targets, callers, routers and a store on a virtual clock, with the real codec: kills, freezes, cuts, lost packets, outages, targets that crash and leave. Nine invariants; each is shown to be found when its mechanism is broken. Found while it was built, faults of the run itself: a late copy of an older request ran again (targets take requests in order), and strays were counted over a shorter time than the users' bound.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -41,6 +41,15 @@
 	echo "$out" | grep -q "^violation of invariant $1, "
 }
 
+# The same for flows.
+check_flow_broken() { # INVARIANT SEED
+	local out
+	out=$("$build/tests/flow-run" "$2" 40 9 24 faults break "$1")
+	[ $? -eq 1 ] || return 1
+	echo "$out"
+	echo "$out" | grep -q "^violation of invariant $1, "
+}
+
 check scripted "$build/tests/scripted"
 check flow-scripted "$build/tests/flow-scripted"
 for seed in 1 2 3; do
@@ -54,6 +63,14 @@
 	check "broken-$invariant" check_broken $invariant 2
 done
 check broken-5 check_broken 5 2 planned
+for seed in 1 2 3; do
+	check "flow-run-$seed" "$build/tests/flow-run" $seed 60 9 24 faults
+done
+check flow-run-large "$build/tests/flow-run" 1 20 76 300 faults
+check flow-run-restart "$build/tests/flow-run" 1 10 76 224 restart
+for invariant in 1 2 3 4 5 6 7 8 9; do
+	check "flow-broken-$invariant" check_flow_broken $invariant 2
+done
 if [ -z "${NO_REAL:-}" ]; then
 	check real "$build/tests/real"
 	check faultsoak-1 scripts/faultsoak.sh 1 10 12
