agent: a target's new life keeps the flows that it took before it spoke

Change: flows that were open when the last life spoke last are reset; later ones are doubted: the target answers, or returns their next packet, and only then is the caller told. A refused connection that is older than what the target sent since no longer counts as its end. Test: flow-target script, which reset the living flow before.

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -269,6 +269,9 @@
 		fa_refuse(fa, f->via, &p->flow, FLOW_REFUSED_FULL);
 	} else if (f->state == HELD_TRIED && f->probed) {
 		fa_say_where(fa, f->via, &p->flow, FLOW_NOT_HERE);
+	} else if (f->doubted) {
+		reset_flow(fa, f, now);
+		return;
 	} else {
 		back.flags &= ~(unsigned)FLOW_RETURNED;
 		give_back(fa, f->via, &back);
@@ -289,6 +292,7 @@
 		f = enter(fa, &p->flow, HELD_HALF, now);
 	table_numbered(f, p->seq);
 	f->used_ns = now;
+	f->doubted = false;
 	send_flow(fa, f->via, FLOW_MSG_ACCEPTED, &about);
 	fa->out->answer(fa->ctx, p);
 }
@@ -358,6 +362,7 @@
 	f = learn(fa, p, now);
 	table_numbered(f, p->seq);
 	f->used_ns = now;
+	f->doubted = false;
 	f->target_done |= (p->flags & FLOW_FIN) != 0;
 	if (p->data > 0 && f->asked_ns != 0) {
 		fa_smooth(fa, now);
@@ -376,12 +381,20 @@
 
 void
 fa_reset_all(struct fa *fa, uint64_t now)
+{
+	fa_reset_before(fa, now, now);
+}
+
+void
+fa_reset_before(struct fa *fa, uint64_t until, uint64_t now)
 {
 	struct held_flow *f, *next;
 
 	HASH_ITER(hh, fa->flows.table, f, next)
 	{
-		if (f->state == HELD_OPEN)
+		if (f->began_ns > until)
+			f->doubted = true;
+		else if (f->state == HELD_OPEN)
 			reset_flow(fa, f, now);
 		else
 			table_drop(&fa->flows, f);
@@ -392,6 +405,7 @@
 fa_word(struct fa *fa, const struct target_word *w, uint64_t now)
 {
 	bool first = fa->target.word.id == 0;
+	uint64_t word_ns = fa->target.word_ns;
 	enum word_result r = target_say(&fa->target, w, now);
 
 	if (r == WORD_OLD || r == WORD_FOREIGN) {
@@ -410,7 +424,9 @@
 		    (json_int_t)w->born_ms, "flows",
 		    (int)HASH_COUNT(fa->flows.table));
 		fa->knows_all = true;
-		fa_reset_all(fa, now);
+		/* What came after the last word of the life before may be the
+		 * new one's, which takes flows before it speaks. */
+		fa_reset_before(fa, word_ns, now);
 	}
 	return r;
 }
--- a/src/flow/agent_members.c
+++ b/src/flow/agent_members.c
@@ -205,7 +205,8 @@
 	event("target_tried", "s:s, s:i, s:I", "sign", names[sign], "flows",
 	    (int)fa->flows.open, "heard_ago_ms",
 	    (json_int_t)((now - fa->target.heard_ns) / NS_PER_MS));
-	if (sign != FA_REFUSES)
+	/* What it sent since is later evidence than a refusal. */
+	if (sign != FA_REFUSES || fa->target.heard_ns > fa->tried_ns)
 		return;
 	target_refused(&fa->target);
 	fa_reset_all(fa, now);
--- a/src/flow/agent_parts.h
+++ b/src/flow/agent_parts.h
@@ -23,5 +23,7 @@
     enum flow_refusal why);
 /** The target's life is over: end all its flows. */
 void fa_reset_all(struct fa *fa, uint64_t now);
+/** End those that were in their state at a time; later ones are doubted. */
+void fa_reset_before(struct fa *fa, uint64_t until, uint64_t now);
 
 #endif
--- a/src/flow/table.h
+++ b/src/flow/table.h
@@ -35,6 +35,7 @@
 	bool target_done;
 	bool probed;	   /**< by a balancer that looks for it */
 	bool silence_told; /**< an opening's balancer knows of the silence */
+	bool doubted;	   /**< may be of a life of the target that ended */
 	UT_hash_handle hh;
 };
 
--- a/tests/flows/ends.c
+++ b/tests/flows/ends.c
@@ -541,8 +541,10 @@
 		    !t->alive || t->life != c->life || t->leaving ||
 			!calm(by, TOUCH_MS) ||
 			!calm(&r.nodes[c->target], TOUCH_MS),
-		    "caller %u, state %d, was reset by %s %u", who,
-		    (int)c->state, by->is_agent ? "agent" : "balancer",
+		    "caller %u, state %d, at the target of agent %u, was "
+		    "reset by %s %u",
+		    who, (int)c->state, c->target,
+		    by->is_agent ? "agent" : "balancer",
 		    (unsigned)(p->request - 1));
 		failed += c->state == ASKING ? 1 : 0;
 	}
