balancer: warm after the period of near agents

Change: the least period heard counts; near balancers tell of the far agents. Test: flow-search script, no reset before.

--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 /** Agents have all had time for a heartbeat when this has passed beyond the
- * period that the first of them told, ms. */
+ * least period that they told, that of the own failure domain, ms. */
 #define WARM_MORE_MS 150
 /** After this an agent that restarted while this balancer did is known, ms. */
 #define RETURN_MS 5000
@@ -57,7 +57,7 @@
 {
 	return fb->first_agent_ns != 0 &&
 	       fb_passed(
-		   fb->first_agent_ns, fb->first_period_ms + WARM_MORE_MS, now);
+		   fb->first_agent_ns, fb->least_period_ms + WARM_MORE_MS, now);
 }
 
 bool
--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -60,7 +60,7 @@
 	uint64_t lag_ms; /**< how late this process runs */
 	bool questions;	 /**< some are gathered */
 	uint64_t began_ns;
-	uint64_t first_period_ms; /**< of the first agent's heartbeats */
+	uint64_t least_period_ms; /**< of the agents' heartbeats */
 	uint64_t first_agent_ns;  /**< when the first agent was heard, or 0 */
 	uint64_t ticked_ns;
 	uint64_t trusted_ns; /**< silence before this proves nothing */
--- a/src/flow/balancer_members.c
+++ b/src/flow/balancer_members.c
@@ -109,10 +109,12 @@
 		fb->recent_ns = 0;
 		return;
 	}
-	if (fb->first_agent_ns == 0) {
+	if (fb->first_agent_ns == 0)
 		fb->first_agent_ns = now;
-		fb->first_period_ms = v->said.period_ms;
-	}
+	/* Those of other failure domains speak more seldom; near balancers
+	 * tell of them. */
+	if (fb->least_period_ms == 0 || v->said.period_ms < fb->least_period_ms)
+		fb->least_period_ms = v->said.period_ms;
 	if (v->said.state != was)
 		event("agent", "s:s, s:i, s:i, s:I", "agent",
 		    addr_text(addr_unpack(m->from), agent), "state",
