search: goes on until it is certain; young balancers learn sooner that they know all

Three reasons, by the lines search_ended and a trial's print of what disagreed: (1) a search ended after 400 ms and the next packet asked all 54 agents anew, which small balancers may not afford, so their questions went out just before they gave up (asked 54, open 38); (2) a young balancer was certain only when the others' latest words named the very same agents, and words of other failure domains were up to 1.3 s, later 6 s old; (3) an agent that left made the tables differ again.

Change: a search lives 3 s, asks each agent once, those that did not answer up to three times more, agents that come meanwhile too, and tells the caller the moment nothing is uncertain. An agent that said that it ends is not waited for, whatever others still say.

--- a/src/flow/agents.c
+++ b/src/flow/agents.c
@@ -68,6 +68,7 @@
 	leave_group(v);
 	HASH_DEL(a->table, v);
 	free(v);
+	a->changes++;
 }
 
 void
@@ -98,6 +99,7 @@
 	v = mem_new(sizeof(*v));
 	v->id = id;
 	HASH_ADD(hh, a->table, id, sizeof(v->id), v);
+	a->changes++;
 	return v;
 }
 
@@ -112,8 +114,11 @@
 		return NULL;
 	if (v->incarnation != m->incarnation) {
 		v->life_before = v->incarnation;
+		a->changes++;
 		v->incarnation = m->incarnation;
 	}
+	if (v->said.state != m->u.agent.state || agents_silent(v, now))
+		a->changes++;
 	v->sequence = m->sequence;
 	v->said = m->u.agent;
 	v->heard_ns = now;
--- a/src/flow/agents.h
+++ b/src/flow/agents.h
@@ -39,6 +39,7 @@
 	struct agent_group *group;
 	struct msg_find questions; /**< to be sent together */
 	struct gossip_told told;   /**< list of balancers that it got */
+	uint64_t mark;		   /**< of the search that asked it last */
 	UT_hash_handle hh;
 };
 
@@ -54,6 +55,7 @@
 struct agents {
 	struct agent_view *table;
 	struct agent_group *groups;
+	uint64_t changes; /**< counts agents that came, went or changed */
 };
 
 /** Free what the tables hold. */
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -41,6 +41,7 @@
 	searches_clear(&fb->searches);
 	agents_clear(&fb->agents);
 	peers_clear(&fb->peers);
+	mentions_clear(&fb->mentions);
 	routes_clear(&fb->routes);
 }
 
@@ -81,10 +82,10 @@
 
 /*
  * Whether this balancer hears as many agents as each other that was heard
- * lately, or the very same ones. False when there is no other.
+ * lately. False when there is no other.
  */
 static bool
-agrees(const struct fb *fb, bool same, uint64_t now)
+hears_enough(const struct fb *fb, uint64_t now)
 {
 	uint64_t digest;
 	size_t known = agents_recent(&fb->agents, now, &digest);
@@ -95,32 +96,55 @@
 	{
 		if (!fb_heard_lately(e, now))
 			continue;
-		if (e->agents > known || (same && e->agent_set != digest))
+		if (e->agents > known)
 			return false;
 		compared++;
 	}
 	return compared > 0 && known > 0;
 }
 
+/*
+ * Whether each other balancer that was heard lately has told once which agents
+ * it hears. What it heard since says so itself: a later word of the other
+ * would be no newer. False when there is no other.
+ */
+static bool
+all_told(const struct fb *fb, uint64_t now)
+{
+	size_t compared = 0;
+	struct peer *e, *next;
+
+	HASH_ITER(hh, fb->peers.table, e, next)
+	{
+		if (!fb_heard_lately(e, now))
+			continue;
+		if (!e->told_us)
+			return false;
+		compared++;
+	}
+	return compared > 0;
+}
+
 /*
  * Whether a flow that no agent claims is gone for certain: an agent that
  * restarts or stands still just now, which a young balancer has never heard
- * and others wait for, may hold it. As many agents are not the same ones.
+ * and others wait for, may hold it.
  */
 bool
-fb_certain(const struct fb *fb, uint64_t now)
+fb_certain(struct fb *fb, uint64_t now)
 {
 	if (!fb_warm(fb, now) || now < fb->trusted_ns ||
-	    agents_live(&fb->agents, now) == 0)
+	    agents_live(&fb->agents, now) == 0 ||
+	    mentions_open(&fb->mentions, now))
 		return false;
-	return fb_passed(fb->began_ns, RETURN_MS, now) || agrees(fb, true, now);
+	return fb_passed(fb->began_ns, RETURN_MS, now) || all_told(fb, now);
 }
 
 bool
 fb_ready(const struct fb *fb, uint64_t now)
 {
 	return !fb->leaving && fb->routes.version != 0 &&
-	       (fb_warm(fb, now) || agrees(fb, false, now)) &&
+	       (fb_warm(fb, now) || hears_enough(fb, now)) &&
 	       (now < fb->trusted_ns || agents_live(&fb->agents, now) > 0);
 }
 
@@ -252,7 +276,7 @@
 		fb_on_balancer(fb, m, now);
 		return;
 	case FLOW_MSG_PEERS:
-		fb_on_peers(fb, &m->u.peers, now);
+		fb_on_peers(fb, m, now);
 		return;
 	case FLOW_MSG_FOUND:
 		fb_on_found(fb, m, now);
--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -11,6 +11,7 @@
 #include "base/latency.h"
 #include "base/rng.h"
 #include "decide/hints.h"
+#include "flow/mentions.h"
 #include "flow/openings.h"
 #include "flow/peers.h"
 #include "flow/routes.h"
@@ -50,6 +51,7 @@
 	struct routes routes;
 	struct agents agents;
 	struct peers peers;
+	struct mentions mentions;
 	struct hint_cache *hints;
 	struct openings openings;
 	struct searches searches;
--- a/src/flow/balancer_members.c
+++ b/src/flow/balancer_members.c
@@ -106,9 +106,11 @@
 		event("agent_gone", "s:s", "agent",
 		    addr_text(addr_unpack(m->from), agent));
 		agents_forget(&fb->agents, m->from);
+		mentions_gone(&fb->mentions, m->from, now);
 		fb->recent_ns = 0;
 		return;
 	}
+	mentions_heard(&fb->mentions, m->from);
 	if (fb->first_agent_ns == 0)
 		fb->first_agent_ns = now;
 	/* Those of other failure domains speak more seldom; near balancers
@@ -145,25 +147,41 @@
 	if (m->u.balancer.peers != peers_digest(&fb->peers) && answers(fb))
 		send_list(fb, m->from, &e->told, now);
 	fb_recent_agents(fb, &digest, now);
-	if (m->u.balancer.agent_set != digest && answers(fb))
+	if (m->u.balancer.agent_set == digest)
+		e->told_us = true;
+	else if (answers(fb))
 		send_agents(fb, e, now);
 }
 
 /* Agents that another balancer hears are asked to tell this one too. */
 static void
-on_agents(struct fb *fb, const struct msg_peers *list, uint64_t now)
+on_agents(struct fb *fb, const struct flow_msg *m, uint64_t now)
 {
+	const struct msg_peers *list = &m->u.peers;
+	struct peer *from = peers_find(&fb->peers, m->from);
+
 	for (uint32_t i = 0; i < list->count; i++) {
-		if (agents_find(&fb->agents, list->peers[i].id) == NULL)
-			fb_greet(fb, list->peers[i].id, now);
+		uint64_t age = list->peers[i].age_ms * NS_PER_MS;
+		const struct agent_view *v =
+		    agents_find(&fb->agents, list->peers[i].id);
+
+		if ((v != NULL && !agents_silent(v, now)) || age > now)
+			continue;
+		mentions_note(&fb->mentions, list->peers[i].id, now - age, now);
+		fb_greet(fb, list->peers[i].id, now);
 	}
+	/* The last part of a list has room left. */
+	if (from != NULL && list->count < FLOW_PEERS_MAX)
+		from->told_us = true;
 }
 
 void
-fb_on_peers(struct fb *fb, const struct msg_peers *list, uint64_t now)
+fb_on_peers(struct fb *fb, const struct flow_msg *m, uint64_t now)
 {
+	const struct msg_peers *list = &m->u.peers;
+
 	if (list->agents) {
-		on_agents(fb, list, now);
+		on_agents(fb, m, now);
 		return;
 	}
 	for (uint32_t i = 0; i < list->count; i++) {
@@ -343,6 +361,9 @@
 	size_t far = peers_count(&fb->peers) - peers_near_count(&fb->peers);
 	size_t most = far / GREET_FAR_SHARE;
 
+	/* What a young one says of the agents it hears is soon out of date. */
+	if (!fb_passed(fb->began_ns, YOUNG_MS, now))
+		most = GREET_NEAR_MOST;
 	if (most < GREET_FAR_LEAST)
 		most = GREET_FAR_LEAST;
 	if (most > GREET_FAR_MOST)
@@ -389,7 +410,10 @@
 		peers_expire(&fb->peers, now);
 		agents_expire(&fb->agents, now);
 	}
-	if (fb_passed(fb->greeted_far_ns, GREET_FAR_MS, now)) {
+	if (fb_passed(fb->greeted_far_ns,
+		fb_passed(fb->began_ns, YOUNG_MS, now) ? GREET_FAR_MS
+						       : GREET_YOUNG_MS,
+		now)) {
 		fb->greeted_far_ns = now;
 		greet_far(fb, now);
 	}
--- a/src/flow/balancer_open.c
+++ b/src/flow/balancer_open.c
@@ -98,6 +98,8 @@
 	struct agent_view *v = agents_find(&fb->agents, owner);
 	size_t pick = routes_pick(route, flow_hash(&p->flow));
 
+	/* A caller that opens it anew no longer asks for the old one. */
+	fb_end_search(fb, &p->flow);
 	if (e != NULL) {
 		repeat_opening(fb, e, now);
 		return;
--- a/src/flow/balancer_parts.h
+++ b/src/flow/balancer_parts.h
@@ -18,7 +18,7 @@
 /** Whether a balancer was heard lately, from itself. */
 bool fb_heard_lately(const struct peer *e, uint64_t now);
 /** Whether a flow that no agent claims is gone for certain. */
-bool fb_certain(const struct fb *fb, uint64_t now);
+bool fb_certain(struct fb *fb, uint64_t now);
 /** Pass a packet to an agent. */
 void fb_forward(
     struct fb *fb, const struct agent_view *v, struct str bytes, bool probe);
@@ -38,6 +38,8 @@
 void fb_on_refused(struct fb *fb, const struct flow_msg *m, uint64_t now);
 /** Look for the agent of a flow, and hold the packet. */
 void fb_seek(struct fb *fb, const struct flow_packet *p, uint64_t now);
+/** Nobody looks for a flow any more. */
+void fb_end_search(struct fb *fb, const struct flow_key *flow);
 /** Agents answered questions. */
 void fb_on_found(struct fb *fb, const struct flow_msg *m, uint64_t now);
 /** An agent returned a packet: the flow is not there. */
@@ -51,7 +53,7 @@
 /** A balancer's heartbeat. */
 void fb_on_balancer(struct fb *fb, const struct flow_msg *m, uint64_t now);
 /** A list of balancers or agents. */
-void fb_on_peers(struct fb *fb, const struct msg_peers *list, uint64_t now);
+void fb_on_peers(struct fb *fb, const struct flow_msg *m, uint64_t now);
 /** Time passed: more questions may be asked. */
 void fb_earn_credit(struct fb *fb, uint64_t passed_ns);
 
--- a/src/flow/balancer_search.c
+++ b/src/flow/balancer_search.c
@@ -88,6 +88,35 @@
 		gather(fb, e, e->asked[i].agent);
 }
 
+static void
+ask_again(struct fb *fb, const struct search *e)
+{
+	for (size_t i = 0; i < e->asked_count; i++) {
+		if (e->asked[i].answered)
+			continue;
+		ctr_inc(fb->ctr, CTR_SEARCH_ASKED);
+		fb->ask_credit_milli -= 1000;
+		gather(fb, e, e->asked[i].agent);
+	}
+}
+
+static void
+tell_ended(struct fb *fb, const struct search *e, enum search_verdict verdict,
+    uint64_t now)
+{
+	char caller[ADDR_TEXT_MAX], agent[ADDR_TEXT_MAX] = "";
+	uint64_t open = search_open(e);
+
+	if (open != 0)
+		addr_text(addr_unpack(open), agent);
+	event("search_ended", "s:s, s:s, s:i, s:i, s:s, s:b, s:b, s:I",
+	    "caller", addr_text(addr_unpack(e->flow.caller), caller), "outcome",
+	    verdict == SEARCH_NOBODY ? "nobody" : "unknown", "asked",
+	    (int)e->asked_count, "open", (int)e->pending, "waits_for", agent,
+	    "complete", (int)e->complete, "certain", (int)fb_certain(fb, now),
+	    "took_ms", (json_int_t)((now - e->began_ns) / NS_PER_MS));
+}
+
 /*
  * Go on with a search, or end it when its outcome is known; packets still
  * held are dropped then.
@@ -95,23 +124,19 @@
 static void
 go_on(struct fb *fb, struct search *e, uint64_t now)
 {
-	char caller[ADDR_TEXT_MAX];
 	enum search_verdict verdict;
 
-	while (search_due(e, now, fb->lag_ms) && may_ask(fb, e))
+	while (search_due(e, &fb->agents, now, fb->lag_ms) && may_ask(fb, e))
 		ask_next(fb, e, now);
+	if (may_ask(fb, e) && search_again(e, now, fb->lag_ms))
+		ask_again(fb, e);
 	verdict = search_verdict(e, now, fb->lag_ms);
 	if (verdict == SEARCH_NOBODY && !fb_certain(fb, now))
 		verdict = search_expired(e, now, fb->lag_ms) ? SEARCH_UNKNOWN
 							     : SEARCH_OPEN;
 	if (verdict == SEARCH_OPEN)
 		return;
-	event("search_ended", "s:s, s:s, s:i, s:i, s:b, s:I", "caller",
-	    addr_text(addr_unpack(e->flow.caller), caller), "outcome",
-	    verdict == SEARCH_NOBODY ? "nobody" : "unknown", "asked",
-	    (int)e->asked_count, "open", (int)e->pending, "complete",
-	    (int)e->complete, "took_ms",
-	    (json_int_t)((now - e->began_ns) / NS_PER_MS));
+	tell_ended(fb, e, verdict, now);
 	if (verdict == SEARCH_NOBODY)
 		fb_reset(fb, &e->flow, e->ack, CTR_RESET_GONE);
 	else
@@ -135,6 +160,15 @@
 		ctr_inc(fb->ctr, CTR_DROP_HELD);
 }
 
+void
+fb_end_search(struct fb *fb, const struct flow_key *flow)
+{
+	struct search *e = searches_find(&fb->searches, flow);
+
+	if (e != NULL)
+		searches_drop(&fb->searches, e);
+}
+
 static void
 on_found(struct fb *fb, struct agent_view *v, const struct msg_found *found,
     uint64_t now)
--- a/src/flow/peers.h
+++ b/src/flow/peers.h
@@ -28,6 +28,7 @@
 	uint32_t capacity;   /**< thousandths of a core */
 	uint32_t domain_tag; /**< of its failure domain, 0 if not known */
 	bool leaving;
+	bool told_us;			/**< once, which agents it hears */
 	struct gossip_told told;	/**< list of balancers that it got */
 	struct gossip_told told_agents; /**< list of agents that it got */
 	UT_hash_handle hh;
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -51,20 +51,22 @@
 	return e;
 }
 
-static bool
-was_asked(const struct search *e, uint64_t agent)
+/* Marks those that were asked, so that looking through all of them is quick. */
+static void
+mark_asked(const struct search *e, const struct agents *agents, uint64_t mark)
 {
 	for (size_t i = 0; i < e->asked_count; i++) {
-		if (e->asked[i].agent == agent)
-			return true;
+		struct agent_view *v = agents_find(agents, e->asked[i].agent);
+
+		if (v != NULL)
+			v->mark = mark;
 	}
-	return false;
 }
 
 static void
-add(struct search *e, const struct agent_view *v, uint64_t now)
+add(struct search *e, struct agent_view *v, uint64_t mark, uint64_t now)
 {
-	if (v->said.state == TARGET_ABSENT || was_asked(e, v->id))
+	if (v->said.state == TARGET_ABSENT || v->mark == mark)
 		return;
 	if (agents_silent(v, now)) {
 		e->complete &= !agents_awaited(v, now);
@@ -73,6 +75,7 @@
 	e->asked = mem_grow(e->asked, e->asked_count + 1, sizeof(*e->asked));
 	e->asked[e->asked_count++] = (struct search_asked){.agent = v->id};
 	e->pending++;
+	v->mark = mark;
 }
 
 /** Candidates of a flow that are added to its search. */
@@ -80,6 +83,7 @@
 	struct search *e;
 	const char *domain;
 	bool near;
+	uint64_t mark;
 	uint64_t now;
 };
 
@@ -90,37 +94,33 @@
 	bool own = strcmp(v->said.domain, t->domain) == 0;
 
 	if (own == t->near)
-		add(t->e, v, t->now);
+		add(t->e, v, t->mark, t->now);
 }
 
 /* Candidates of the flow in one service. */
 static void
-add_group(struct search *e, const struct agent_group *g, const char *domain,
-    bool near, uint64_t now)
+add_group(struct tier *t, const struct agent_group *g)
 {
-	struct tier t = {e, domain, near, now};
-
 	if (g != NULL)
-		place_each_candidate(g, flow_hash(&e->flow), add_candidate, &t);
+		place_each_candidate(
+		    g, flow_hash(&t->e->flow), add_candidate, t);
 }
 
 /* Of each service that its address leads to, or of all if that is unknown. */
 static void
-add_candidates(
-    struct search *e, const struct search_field *field, bool near, uint64_t now)
+add_candidates(struct tier *t, const struct search_field *field)
 {
 	const struct flow_route *route = field->route;
 	struct agent_group *g, *next;
 
 	for (size_t i = 0; route != NULL && i < route->count; i++)
-		add_group(e,
-		    agents_group(field->agents, route->shares[i].service),
-		    field->domain, near, now);
+		add_group(
+		    t, agents_group(field->agents, route->shares[i].service));
 	if (route != NULL)
 		return;
 	HASH_ITER(hh, field->agents->groups, g, next)
 	{
-		add_group(e, g, field->domain, near, now);
+		add_group(t, g);
 	}
 }
 
@@ -129,13 +129,13 @@
  * flows at services that their address no longer leads to.
  */
 static void
-add_all(struct search *e, const struct search_field *field, uint64_t now)
+add_all(struct tier *t, const struct search_field *field)
 {
 	struct agent_view *v, *next;
 
 	HASH_ITER(hh, field->agents->table, v, next)
 	{
-		add(e, v, now);
+		add(t->e, v, t->mark, t->now);
 	}
 }
 
@@ -143,29 +143,59 @@
 search_next(struct search *e, const struct search_field *field, uint64_t now,
     size_t *first)
 {
+	static uint64_t marks;
+	struct tier t = {.e = e,
+	    .domain = field->domain,
+	    .near = e->tier == SEARCH_NEAR,
+	    .mark = ++marks,
+	    .now = now};
+
 	*first = e->asked_count;
 	e->complete = true;
+	mark_asked(e, field->agents, t.mark);
 	if (e->tier < SEARCH_ALL) {
-		add_candidates(e, field, e->tier == SEARCH_NEAR, now);
+		add_candidates(&t, field);
 		e->tier++;
 	} else {
 		/* Agents that came meanwhile are asked when it is due again. */
-		add_all(e, field, now);
+		add_all(&t, field);
 		e->tier = SEARCH_TIERS;
+		e->changes = field->agents->changes;
 	}
 	e->asked_ns = now;
+	if (e->asked_count > *first)
+		e->again_ns = now;
+}
+
+static uint64_t
+wait_ns(const struct search *e, uint64_t ms, uint64_t lag_ms)
+{
+	uint64_t most = e->trying == e->pending ? SEARCH_TRY_MS : ms;
+
+	return (most + SEARCH_LAG_TIMES * lag_ms) * NS_PER_MS;
 }
 
 bool
-search_due(const struct search *e, uint64_t now, uint64_t lag_ms)
+search_due(const struct search *e, const struct agents *agents, uint64_t now,
+    uint64_t lag_ms)
 {
-	uint64_t wait_ms =
-	    e->trying == e->pending ? SEARCH_TRY_MS : SEARCH_NEXT_MS;
+	bool waited = now >= e->asked_ns + wait_ns(e, SEARCH_NEXT_MS, lag_ms);
 
-	wait_ms += SEARCH_LAG_TIMES * lag_ms;
-	if (e->tier < SEARCH_TIERS && e->pending == 0)
-		return true;
-	return now >= e->asked_ns + wait_ms * NS_PER_MS;
+	if (e->tier < SEARCH_TIERS)
+		return waited || e->pending == 0;
+	return waited && (e->changes != agents->changes || !e->complete);
+}
+
+bool
+search_again(struct search *e, uint64_t now, uint64_t lag_ms)
+{
+	if (e->pending == e->trying || e->again == SEARCH_AGAIN_MOST ||
+	    now < e->again_ns +
+		      (SEARCH_AGAIN_MS + SEARCH_LAG_TIMES * lag_ms) * NS_PER_MS)
+		return false;
+	e->again++;
+	e->again_ns = now;
+	return true;
 }
 
 bool
@@ -177,7 +207,7 @@
 		return true;
 	if (e->held_count == SEARCH_HELD_MAX || p->bytes.len > FLOW_PACKET_MAX)
 		return false;
-	h = mem_new(sizeof(*h));
+	h = mem_new(sizeof(*h) + p->bytes.len);
 	h->len = p->bytes.len;
 	memcpy(h->bytes, p->bytes.p, p->bytes.len);
 	e->held[e->held_count++] = h;
@@ -220,3 +250,13 @@
 		return SEARCH_NOBODY;
 	return search_expired(e, now, lag_ms) ? SEARCH_UNKNOWN : SEARCH_OPEN;
 }
+
+uint64_t
+search_open(const struct search *e)
+{
+	for (size_t i = 0; i < e->asked_count; i++) {
+		if (!e->asked[i].answered || e->asked[i].unsure)
+			return e->asked[i].agent;
+	}
+	return 0;
+}
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -22,8 +22,14 @@
 /** Answers are waited for longer by this many times the lag of the process:
  * a question, its answer and the packets before them each wait once. */
 #define SEARCH_LAG_TIMES 3
-/** A search ends after this, ms: the caller's next copy begins another. */
-#define SEARCH_LIFE_MS 400
+/** Agents that did not answer are asked again after this, ms, so often: a
+ * datagram is lost now and then. */
+#define SEARCH_AGAIN_MS 200
+#define SEARCH_AGAIN_MOST 3
+/** A search ends after this, ms: callers wait for an answer between a half
+ * and four seconds. What agents denied needs no second question meanwhile, and
+ * the caller is told the moment that nothing is uncertain any more. */
+#define SEARCH_LIFE_MS 3000
 
 /** Whom a search asks, in this order. */
 enum search_tier {
@@ -43,7 +49,7 @@
 /** A packet that waits. */
 struct held_packet {
 	size_t len;
-	char bytes[FLOW_PACKET_MAX];
+	char bytes[];
 };
 
 /** An agent that was asked. */
@@ -59,6 +65,9 @@
 	uint32_t ack;
 	uint64_t began_ns;
 	uint64_t asked_ns;	    /**< latest tier */
+	uint64_t again_ns;	    /**< latest questions, first or not */
+	unsigned again;		    /**< times that they were repeated */
+	uint64_t changes;	    /**< of the agents, when all were asked */
 	unsigned tier;		    /**< next to be asked */
 	struct search_asked *asked; /**< all so far */
 	size_t asked_count;
@@ -98,10 +107,14 @@
 void search_next(struct search *e, const struct search_field *field,
     uint64_t now, size_t *first);
 /**
- * Whether the next tier is due.
+ * Whether the next tier is due, or all are to be looked through again because
+ * agents came, or one was missing.
  * @param lag_ms how late this process runs: answers may lie unread
  */
-bool search_due(const struct search *e, uint64_t now, uint64_t lag_ms);
+bool search_due(const struct search *e, const struct agents *agents,
+    uint64_t now, uint64_t lag_ms);
+/** Whether those that did not answer are to be asked again; it counts. */
+bool search_again(struct search *e, uint64_t now, uint64_t lag_ms);
 /** Hold a packet of the flow; one too many is dropped. */
 bool search_hold(struct search *e, const struct flow_packet *p);
 /** Take in an agent's denial or doubt. */
@@ -111,6 +124,8 @@
 /** What is known so far. */
 enum search_verdict search_verdict(
     const struct search *e, uint64_t now, uint64_t lag_ms);
+/** The first agent that has not denied yet; 0 for none. */
+uint64_t search_open(const struct search *e);
 /** End a search. */
 void searches_drop(struct searches *s, struct search *e);
 
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -15,6 +15,7 @@
     {"beat", do_beat},
     {"gone", do_gone},
     {"peer", do_peer},
+    {"told", do_told},
     {"syn", do_syn},
     {"data", do_data},
     {"accepted", do_accepted},
--- a/tests/unit/script_flow_balancer.c
+++ b/tests/unit/script_flow_balancer.c
@@ -167,6 +167,7 @@
 {
 	struct words w;
 	struct flow_msg m = {.kind = FLOW_MSG_BALANCER, .incarnation = 1};
+	size_t known;
 
 	(void)body;
 	words_split(&w, arg);
@@ -178,8 +179,10 @@
 	    w.count > 4 ? words_number(&w, 4) : fb.setup.capacity;
 	m.u.balancer.peers = peers_digest(&fb.peers);
 	/* By default as many agents are the same ones. */
-	agents_recent(&fb.agents, script_now_ns, &m.u.balancer.agent_set);
+	known =
+	    agents_recent(&fb.agents, script_now_ns, &m.u.balancer.agent_set);
 	m.u.balancer.agent_set += words_number(&w, 5);
+	m.u.balancer.agent_set += m.u.balancer.agents != known ? 1 : 0;
 	fb_message(&fb, &m, script_now_ns);
 	say("  watches %s, asks the store %s, newer at %s\n",
 	    fb_watches(&fb, script_now_ns) ? "yes" : "no",
@@ -367,6 +370,24 @@
 }
 
 /* entry BALANCER: what becomes of its entry in the store */
+/* told BALANCER AGENT AGE-MS ...: a balancer lists the agents that it hears */
+void
+do_told(const char *arg, const char *body)
+{
+	struct words w;
+	struct flow_msg m = {.kind = FLOW_MSG_PEERS, .incarnation = 1};
+
+	(void)body;
+	words_split(&w, arg);
+	m.from = world_id(w.word[0]);
+	m.u.peers.agents = true;
+	for (size_t i = 1; i + 1 < w.count; i += 2)
+		m.u.peers.peers[m.u.peers.count++] =
+		    (struct msg_peer){.id = world_id(w.word[i]),
+			.age_ms = words_number(&w, i + 1)};
+	fb_message(&fb, &m, script_now_ns);
+}
+
 void
 do_entry(const char *arg, const char *body)
 {
