agent, balancer: those that start together meet sooner

Change: until a balancer has answered, an agent tells its seeds every tick, for 10 s at most; a young balancer greets seeds it does not know every tick; the store's entries, a stale read, are asked for after 200 ms alone. Test: flow-agent script (an agent that nobody answered tells each tick, so also that it is gone).

--- a/src/flow/agent.h
+++ b/src/flow/agent.h
@@ -73,6 +73,7 @@
 	uint64_t given_ns; /**< request that the target did not react to yet */
 	uint64_t tried_ns; /**< latest try_target() */
 	bool trying;	   /**< its outcome is due */
+	bool met;	   /**< a balancer has spoken to it */
 	uint64_t told_ns;
 	unsigned rounds;   /**< of heartbeats */
 	uint64_t asked_ns; /**< a list of balancers was asked for */
--- a/src/flow/agent_members.c
+++ b/src/flow/agent_members.c
@@ -20,6 +20,9 @@
 #define TELL_YOUNG_MS 250
 #define TELL_YOUNG_EACH_MS 10
 #define YOUNG_MS 3000
+/** Until a balancer has answered, seeds are told every tick, so long, ms: the
+ * machines of one start are up within some seconds of each other. */
+#define ALONE_MS 10000
 /** Among so many balancers a young agent tells those of the other failure
  * domains each time too. */
 #define FEW_BALANCERS 32
@@ -131,11 +134,13 @@
 		on_find(fa, m, now);
 		return;
 	case FLOW_MSG_PEERS:
+		fa->met = true;
 		peers_note(&fa->peers, m->from, now, 0);
 		on_peers(fa, &m->u.peers, now);
 		return;
 	case FLOW_MSG_BALANCER:
 		/* It greets agents that it does not hear. */
+		fa->met = true;
 		peers_note(&fa->peers, m->from, now,
 		    flow_service_tag(str_of(m->u.balancer.domain)));
 		tell(fa, m->from, false, now);
@@ -251,6 +256,13 @@
 		peers_note(&fa->peers, fa->setup.seeds[i], now, 0);
 }
 
+/* No balancer has answered yet: the seeds may be about to start. */
+static bool
+alone(const struct fa *fa, uint64_t now)
+{
+	return !fa->met && !fa_passed(fa->target.began_ns, ALONE_MS, now);
+}
+
 static void
 tick_state(struct fa *fa, uint64_t now)
 {
@@ -267,7 +279,7 @@
 		fa->told = state;
 		fa->tell_again = TELL_TWICE;
 	}
-	if (fa->tell_again > 0 ||
+	if (fa->tell_again > 0 || alone(fa, now) ||
 	    fa_passed(fa->told_ns, period_ms(fa, now), now)) {
 		bool young = !fa_passed(fa->target.began_ns, YOUNG_MS, now) &&
 			     peers_count(&fa->peers) <= FEW_BALANCERS;
--- a/src/flow/balancer_members.c
+++ b/src/flow/balancer_members.c
@@ -400,6 +400,10 @@
 	fb->ticked_ns = now;
 	fb_tick_openings(fb, now);
 	fb_tick_searches(fb, now);
+	/* Those that start now too: the sooner they meet, the sooner callers
+	 * are served. */
+	if (!fb_passed(fb->began_ns, YOUNG_MS, now))
+		greet_seeds(fb, now);
 	if (fb_passed(fb->greeted_ns,
 		fb_passed(fb->began_ns, YOUNG_MS, now) ? GREET_MS
 						       : GREET_YOUNG_MS,
--- a/src/task/flow_agent_task.c
+++ b/src/task/flow_agent_task.c
@@ -9,8 +9,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** No balancer answered within this: the store's entries are read, ms. */
-#define LONELY_MS 1000
+/** No balancer answered within this: the store's entries are read, ms. Seeds
+ * that start with it do so within a fraction of a second. */
+#define LONELY_MS 200
+/** They are read again after this while none has ever answered, ms. */
+#define LONELY_TRY_MS 700
 /** Nothing came of a connection to the target within this, ms. */
 #define TRY_MS 300
 /** They are read again after this while nobody answers, ms: it was asked for
@@ -27,6 +30,7 @@
 	uv_connect_t try_connect;
 	struct web words;    /**< where the target's heartbeats come in */
 	uint64_t listed_ns;  /**< store's entries asked for, or begin */
+	bool listed;	     /**< they were asked for */
 	uint64_t message_ns; /**< latest message of a balancer */
 };
 
@@ -209,11 +213,13 @@
 look_around(struct task_state *t, uint64_t now)
 {
 	uint64_t again = fa_ask_ms(&t->fa) + LONELY_AGAIN_MS;
-	uint64_t wait = t->message_ns == 0 ? LONELY_MS : again;
+	uint64_t first = t->listed ? LONELY_TRY_MS : LONELY_MS;
+	uint64_t wait = t->message_ns == 0 ? first : again;
 
 	if (now < t->message_ns + again * NS_PER_MS ||
 	    now < t->listed_ns + wait * NS_PER_MS)
 		return;
+	t->listed = true;
 	t->listed_ns = now;
 	store_list_members(t->store);
 }
--- a/src/task/flow_balancer_task.c
+++ b/src/task/flow_balancer_task.c
@@ -21,8 +21,9 @@
 #define QUIET_MS 1200
 /** Entries of balancers that are gone are looked for this often, ms. */
 #define CLEAN_MS 60000
-/** No balancer was found within this: the store's entries are read, ms. */
-#define LONELY_MS 800
+/** No balancer was found within this: the store's entries are read, ms. Seeds
+ * that start with it do so within a fraction of a second. */
+#define LONELY_MS 200
 
 struct task_state {
 	struct flow_node node;
