agent: one that starts after its target's first word is unsure of its flows

Change: it knows all flows when it has listened for as long as the target has spoken, by the number of its words; and, unsure, after the life of a flow. Test: flow-target script, 'not here' before, 'unsure' now. Ruled out: the longer searches (the agent's own answer was wrong), freezes.

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -8,9 +8,6 @@
 /** A target returns a packet within a fraction of this, ms: once it has sent
  * anything later than that, it holds the flow. */
 #define RETURN_MS 5
-/** Words that a target may have said before its agent heard one, when the
- * two started together. */
-#define FIRST_WORDS 3
 
 void
 fa_init(struct fa *fa, const struct fa_setup *setup, const struct fa_out *out,
@@ -24,6 +21,7 @@
 	fa->target.began_ns = now;
 	fa->peers.domain_tag = flow_service_tag(str_of(setup->domain));
 	fa->busy_ns = now;
+	fa->unsure_ns = now;
 	fa->ticked_ns = now;
 	for (size_t i = 0; i < setup->seed_count; i++)
 		peers_note(&fa->peers, setup->seeds[i], now, 0);
@@ -147,6 +145,7 @@
 		ctr_inc(fa->ctr, CTR_DROP_TABLE);
 		/* What is not in the table may be here from now on. */
 		fa->knows_all = false;
+		fa->unsure_ns = now;
 	}
 	return f;
 }
@@ -414,7 +413,7 @@
 	}
 	ctr_inc(fa->ctr, CTR_TARGET_WORDS);
 	if (first && r == WORD_TAKEN) {
-		fa->knows_all = w->sequence <= FIRST_WORDS;
+		fa->knows_all = target_told_all(&fa->target, now);
 		event("target", "s:I, s:I, s:b", "born_ms",
 		    (json_int_t)w->born_ms, "sequence", (json_int_t)w->sequence,
 		    "knows_all", (int)fa->knows_all);
--- a/src/flow/agent.h
+++ b/src/flow/agent.h
@@ -66,6 +66,7 @@
 	size_t try_count;
 	/** Whether it has seen all of its target's life. */
 	bool knows_all;
+	uint64_t unsure_ns; /**< since when it saw all of it, if it did not */
 	uint64_t sequence;
 	uint64_t busy_milli; /**< requests at the target, smoothed */
 	uint64_t busy_ns;    /**< when it was last brought up to date */
--- a/src/flow/agent_members.c
+++ b/src/flow/agent_members.c
@@ -304,6 +304,9 @@
 		fa->expired_ns = now;
 		fa_smooth(fa, now);
 		table_expire(&fa->flows, fa->setup.flow_life_ms, now);
+		/* What it did not see by now is older than a flow may be. */
+		if (fa_passed(fa->unsure_ns, fa->setup.flow_life_ms, now))
+			fa->knows_all |= fa->target.word.id != 0;
 		peers_expire(&fa->peers, now);
 		if (peers_count(&fa->peers) == 0)
 			note_seeds(fa, now);
--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -90,6 +90,14 @@
 		t->suspected = true;
 }
 
+bool
+target_told_all(const struct target *t, uint64_t now)
+{
+	uint64_t before = t->word.sequence > 0 ? t->word.sequence - 1 : 0;
+
+	return now >= t->began_ns + before * t->period_ms * NS_PER_MS;
+}
+
 enum target_state
 target_state_at(const struct target *t, uint64_t now)
 {
--- a/src/flow/target.h
+++ b/src/flow/target.h
@@ -54,6 +54,11 @@
 void target_heard(struct target *t, uint64_t now);
 /** An opening given to it at a time was not answered. */
 void target_suspect(struct target *t, uint64_t given_ns);
+/**
+ * Whether its agent has listened for as long as it has spoken: otherwise an
+ * agent before this one may have given it flows.
+ */
+bool target_told_all(const struct target *t, uint64_t now);
 /** What to tell the balancers. */
 enum target_state target_state_at(const struct target *t, uint64_t now);
 /** Whether there is none for certain, so that its flows are gone. */
