request: what serves requests stands apart from what both kinds share

src/decide held the members, configuration and load that requests and flows share, and the eleven files that serve requests alone. The latter move to src/request, unchanged but for the paths of their headers; src/decide does not include them. Seven of them still call each other in a circle (agent, exchange, feed, registry, route, source, watch by agent_state.h): they are the parts of one agent, split by concept, and the header names what each gives the others.

--- a/bench/memory.c
+++ b/bench/memory.c
@@ -6,11 +6,11 @@
  */
 #include "base/clock.h"
 #include "codec/coap.h"
-#include "decide/balancer.h"
 #include "decide/config.h"
-#include "decide/directory.h"
 #include "decide/hints.h"
-#include "decide/permit.h"
+#include "request/balancer.h"
+#include "request/directory.h"
+#include "request/permit.h"
 
 #include <malloc.h>
 #include <sodium.h>
--- a/bench/relay.c
+++ b/bench/relay.c
@@ -10,7 +10,7 @@
  */
 #include "base/clock.h"
 #include "codec/wire.h"
-#include "decide/balancer.h"
+#include "request/balancer.h"
 
 #include <arpa/inet.h>
 #include <sodium.h>
--- a/bench/scale.c
+++ b/bench/scale.c
@@ -13,10 +13,10 @@
 #include "base/clock.h"
 #include "codec/coap.h"
 #include "codec/wire.h"
-#include "decide/agent.h"
-#include "decide/balancer.h"
 #include "decide/delta.h"
 #include "events.h"
+#include "request/agent.h"
+#include "request/balancer.h"
 
 #include <sodium.h>
 #include <stdio.h>
--- a/src/codec/coap.h
+++ b/src/codec/coap.h
@@ -7,7 +7,7 @@
 #ifndef PW_COAP_H
 #define PW_COAP_H
 
-#include "decide/request.h"
+#include "request/request.h"
 
 /**
  * Option that carries a request's time left in milliseconds, a uint of up
--- a/src/decide/agent.c
+++ b/src/request/agent.c
@@ -1,7 +1,7 @@
-#include "decide/agent.h"
+#include "request/agent.h"
 
-#include "decide/agent_state.h"
-#include "decide/source.h"
+#include "request/agent_state.h"
+#include "request/source.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/decide/agent.h
+++ b/src/request/agent.h
@@ -11,7 +11,7 @@
 #include "base/rng.h"
 #include "decide/config.h"
 #include "decide/message.h"
-#include "decide/request.h"
+#include "request/request.h"
 
 /** Most seed balancers in the settings. */
 #define AGT_SEEDS_MAX 8
--- a/src/decide/agent_state.h
+++ b/src/request/agent_state.h
@@ -7,11 +7,11 @@
 #define PW_AGENT_STATE_H
 
 #include "base/clock.h"
-#include "decide/agent.h"
-#include "decide/budget.h"
-#include "decide/directory.h"
 #include "decide/load.h"
-#include "decide/permit.h"
+#include "request/agent.h"
+#include "request/budget.h"
+#include "request/directory.h"
+#include "request/permit.h"
 
 /** Balancers that watch one agent. */
 #define AGT_WATCHERS 3
--- a/src/decide/balancer.c
+++ b/src/request/balancer.c
@@ -1,4 +1,4 @@
-#include "decide/balancer.h"
+#include "request/balancer.h"
 
 #include "base/clock.h"
 #include "decide/hints.h"
--- a/src/decide/budget.c
+++ b/src/request/budget.c
@@ -1,4 +1,4 @@
-#include "decide/budget.h"
+#include "request/budget.h"
 
 /** Hundredths of a token that one retry costs. */
 #define RETRY_COST 100
--- a/src/decide/directory.c
+++ b/src/request/directory.c
@@ -1,4 +1,4 @@
-#include "decide/directory.h"
+#include "request/directory.h"
 
 #include "base/clock.h"
 
--- a/src/decide/feed.c
+++ b/src/request/feed.c
@@ -1,5 +1,5 @@
-#include "decide/agent_state.h"
-#include "decide/source.h"
+#include "request/agent_state.h"
+#include "request/source.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/decide/permit.c
+++ b/src/request/permit.c
@@ -1,4 +1,4 @@
-#include "decide/permit.h"
+#include "request/permit.h"
 
 #include <assert.h>
 #include <sodium.h>
--- a/src/decide/permit.h
+++ b/src/request/permit.h
@@ -9,7 +9,7 @@
 
 #include "base/counters.h"
 #include "base/rng.h"
-#include "decide/request.h"
+#include "request/request.h"
 
 /** How long a permit can be used. */
 #define PERMIT_LIFE_NS (UINT64_C(4000) * 1000000)
--- a/src/decide/registry.c
+++ b/src/request/registry.c
@@ -1,4 +1,4 @@
-#include "decide/agent_state.h"
+#include "request/agent_state.h"
 
 /** Wait for a home's word on a registration. */
 #define REGISTER_NS (300 * NS_PER_MS)
--- a/src/decide/route.c
+++ b/src/request/route.c
@@ -1,4 +1,4 @@
-#include "decide/agent_state.h"
+#include "request/agent_state.h"
 
 /** Agents that one datagram may pass. */
 #define HOPS_MAX 6
--- a/src/decide/source.c
+++ b/src/request/source.c
@@ -1,4 +1,4 @@
-#include "decide/source.h"
+#include "request/source.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/decide/source.h
+++ b/src/request/source.h
@@ -7,7 +7,7 @@
 #ifndef PW_SOURCE_H
 #define PW_SOURCE_H
 
-#include "decide/agent_state.h"
+#include "request/agent_state.h"
 
 struct feed;
 
--- a/src/task/agent_task.c
+++ b/src/task/agent_task.c
@@ -2,7 +2,7 @@
 
 #include "base/log.h"
 #include "codec/coap.h"
-#include "decide/agent.h"
+#include "request/agent.h"
 #include "task/calls.h"
 #include "task/mailbox.h"
 #include "task/node.h"
--- a/src/task/balancer_task.c
+++ b/src/task/balancer_task.c
@@ -1,8 +1,8 @@
 #include "task/balancer_task.h"
 
 #include "base/log.h"
-#include "decide/balancer.h"
 #include "decide/delta.h"
+#include "request/balancer.h"
 #include "task/calls.h"
 #include "task/mailbox.h"
 #include "task/node.h"
--- a/src/task/report.h
+++ b/src/task/report.h
@@ -6,8 +6,8 @@
 #define PW_REPORT_H
 
 #include "base/counters.h"
-#include "decide/agent.h"
-#include "decide/balancer.h"
+#include "request/agent.h"
+#include "request/balancer.h"
 
 /** Status of a balancer; the caller frees it. */
 char *report_balancer(const struct balancer *b);
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -9,8 +9,8 @@
 #include "base/clock.h"
 #include "codec/coap.h"
 #include "codec/wire.h"
-#include "decide/agent.h"
-#include "decide/balancer.h"
+#include "request/agent.h"
+#include "request/balancer.h"
 
 #define DOMAINS 3
 #define BALANCERS 6
--- a/tests/unit/scripted.c
+++ b/tests/unit/scripted.c
@@ -10,12 +10,12 @@
 #include "codec/coap.h"
 #include "codec/object.h"
 #include "codec/settings.h"
-#include "decide/budget.h"
 #include "decide/delta.h"
 #include "decide/hints.h"
 #include "decide/load.h"
-#include "decide/permit.h"
 #include "decide/submission.h"
+#include "request/budget.h"
+#include "request/permit.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
