failing: targets that fail part of their answers get fewer new flows

A target that fails at once looks idle, so it drew new flows, the callers' second tries among them. Tests: flow-agent, flow-open and platform scripts. Ruled out: resetting open flows of such a target, which live.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -95,6 +95,8 @@
 	X(DROP_HELD, "drop_held", "packets over what a search holds") \
 	X(DROP_OPENING, "drop_opening", "openings that nobody answered") \
 	X(DROP_TABLE, "drop_table_full", "flows forgotten for newer ones") \
+	X(TARGET_FAILED, "target_failed", \
+	    "answers of the target that are failures") \
 	X(LISTS, "lists_told", "lists of members told, in parts") \
 	X(TARGET_RETURNED, "target_returned", "packets the target sent back") \
 	X(TARGET_WORDS, "target_words", "heartbeats of the target taken") \
--- a/src/codec/flow.pb-c.c
+++ b/src/codec/flow.pb-c.c
@@ -502,7 +502,7 @@
   assert(message->base.descriptor == &pwf__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pwf__agent__field_descriptors[12] =
+static const ProtobufCFieldDescriptor pwf__agent__field_descriptors[13] =
 {
   {
     "service",
@@ -648,12 +648,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failing",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Agent, failing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__agent__field_indices_by_name[] = {
   6,   /* field[6] = busy_milli */
   4,   /* field[4] = cold_ms */
   2,   /* field[2] = data_port */
   1,   /* field[1] = domain */
+  12,   /* field[12] = failing */
   8,   /* field[8] = flows */
   11,   /* field[11] = gone */
   10,   /* field[10] = peers */
@@ -666,7 +679,7 @@
 static const ProtobufCIntRange pwf__agent__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor pwf__agent__descriptor =
 {
@@ -676,7 +689,7 @@
   "Pwf__Agent",
   "pwf",
   sizeof(Pwf__Agent),
-  12,
+  13,
   pwf__agent__field_descriptors,
   pwf__agent__field_indices_by_name,
   1,  pwf__agent__number_ranges,
@@ -914,7 +927,7 @@
   (ProtobufCMessageInit) pwf__peers__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__flow__field_descriptors[7] =
+static const ProtobufCFieldDescriptor pwf__flow__field_descriptors[8] =
 {
   {
     "caller",
@@ -1000,11 +1013,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failing",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Flow, failing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__flow__field_indices_by_name[] = {
   2,   /* field[2] = ack */
   4,   /* field[4] = busy_milli */
   0,   /* field[0] = caller */
+  7,   /* field[7] = failing */
   5,   /* field[5] = flows */
   6,   /* field[6] = packet */
   3,   /* field[3] = refusal */
@@ -1014,7 +1040,7 @@
 {
   { 1, 0 },
   { 5, 3 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor pwf__flow__descriptor =
 {
@@ -1024,7 +1050,7 @@
   "Pwf__Flow",
   "pwf",
   sizeof(Pwf__Flow),
-  7,
+  8,
   pwf__flow__field_descriptors,
   pwf__flow__field_indices_by_name,
   2,  pwf__flow__number_ranges,
--- a/src/codec/flow.pb-c.h
+++ b/src/codec/flow.pb-c.h
@@ -48,10 +48,11 @@
   uint32_t period_ms;
   uint64_t peers;
   protobuf_c_boolean gone;
+  uint32_t failing;
 };
 #define PWF__AGENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__agent__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Pwf__Balancer
@@ -104,10 +105,11 @@
   uint32_t busy_milli;
   uint32_t flows;
   ProtobufCBinaryData packet;
+  uint32_t failing;
 };
 #define PWF__FLOW__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__flow__descriptor) \
-    , 0, 0, 0, 0, 0, 0, {0,NULL} }
+    , 0, 0, 0, 0, 0, 0, {0,NULL}, 0 }
 
 
 struct  Pwf__Found
--- a/src/codec/flow_wire.c
+++ b/src/codec/flow_wire.c
@@ -22,6 +22,7 @@
 	out.busy_milli = a->busy_milli;
 	out.waiting = a->waiting;
 	out.flows = a->flows;
+	out.failing = a->failing;
 	out.period_ms = a->period_ms;
 	out.peers = a->peers;
 	out.gone = a->gone;
@@ -54,6 +55,7 @@
 	out.refusal = f->refusal;
 	out.busy_milli = f->busy_milli;
 	out.flows = f->flows;
+	out.failing = f->failing;
 	out.packet.len = f->bytes.len;
 	out.packet.data = (uint8_t *)(uintptr_t)f->bytes.p;
 	return out;
@@ -196,6 +198,7 @@
 	out->busy_milli = a->busy_milli;
 	out->waiting = a->waiting;
 	out->flows = a->flows;
+	out->failing = a->failing;
 	out->period_ms = a->period_ms;
 	out->peers = a->peers;
 	out->gone = a->gone;
@@ -259,6 +262,7 @@
 	out->refusal = (enum flow_refusal)f->refusal;
 	out->busy_milli = f->busy_milli;
 	out->flows = f->flows;
+	out->failing = f->failing;
 	out->bytes = (struct str){(char *)f->packet.data, f->packet.len};
 	return true;
 }
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -78,6 +78,7 @@
 
 	m.u.flow.busy_milli = (uint32_t)fa->busy_milli;
 	m.u.flow.flows = fa->flows.open;
+	m.u.flow.failing = failing_milli(&fa->failing, fa->ticked_ns);
 	fa_send(fa, to, &m);
 }
 
@@ -341,6 +342,27 @@
 	fa->try_count = kept;
 }
 
+/* Balancers are told at once when a target begins to fail, or ends it. */
+static void
+note_outcome(struct fa *fa, const struct flow_packet *p, uint64_t now)
+{
+	char caller[ADDR_TEXT_MAX];
+	uint32_t milli;
+
+	failing_note(&fa->failing, p->outcome == FLOW_FAILED, now);
+	if (p->outcome == FLOW_FAILED)
+		ctr_inc(fa->ctr, CTR_TARGET_FAILED);
+	milli = failing_milli(&fa->failing, now);
+	if (fa->told_failing ? milli >= FAILING_MILLI / 2
+			     : milli < FAILING_MILLI)
+		return;
+	fa->told_failing = !fa->told_failing;
+	fa->tell_again = 1;
+	event("target_failing", "s:b, s:i, s:s", "failing",
+	    (int)fa->told_failing, "part_milli", (int)milli, "caller",
+	    addr_text(addr_unpack(p->flow.caller), caller));
+}
+
 void
 fa_target(struct fa *fa, const struct flow_packet *p, uint64_t now)
 {
@@ -365,6 +387,8 @@
 	f->target_done |= (p->flags & FLOW_FIN) != 0;
 	if (p->data > 0 && f->asked_ns != 0) {
 		fa_smooth(fa, now);
+		if (p->outcome != FLOW_NO_OUTCOME)
+			note_outcome(fa, p, now);
 		latency_note(&fa->wait, now - f->asked_ns);
 		table_answer(&fa->flows, f);
 	}
--- a/src/flow/agent_members.c
+++ b/src/flow/agent_members.c
@@ -102,6 +102,7 @@
 	a->busy_milli = (uint32_t)fa->busy_milli;
 	a->waiting = fa->flows.waiting;
 	a->flows = fa->flows.open;
+	a->failing = failing_milli(&fa->failing, now);
 	/* What follows the first seconds is told, lest silence be seen then. */
 	a->period_ms = (uint32_t)period_ms(fa, now + YOUNG_MS * NS_PER_MS);
 	if (e != NULL && !peers_near(&fa->peers, e))
--- a/src/flow/agents.c
+++ b/src/flow/agents.c
@@ -146,6 +146,7 @@
 		return;
 	v->said.busy_milli = m->u.flow.busy_milli;
 	v->said.flows = m->u.flow.flows;
+	v->said.failing = m->u.flow.failing;
 	if (v->placed > 0)
 		v->placed--;
 }
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -46,6 +46,7 @@
 	uint32_t busy_milli; /**< requests held, smoothed, times 1000 */
 	uint32_t waiting;    /**< requests held now */
 	uint32_t flows;	     /**< open flows */
+	uint32_t failing;    /**< part of its answers that fail, times 1000 */
 	uint32_t period_ms;  /**< until the next heartbeat */
 	uint64_t peers;	     /**< digest of the balancers it knows */
 	bool gone;	     /**< it ends, and its target has ended */
@@ -114,6 +115,7 @@
 	enum flow_refusal refusal; /**< REFUSED */
 	uint32_t busy_milli;	   /**< ACCEPTED, REFUSED: as a heartbeat */
 	uint32_t flows;		   /**< ACCEPTED, REFUSED: as a heartbeat */
+	uint32_t failing;	   /**< ACCEPTED, REFUSED: as a heartbeat */
 	struct str bytes;	   /**< AWAY: the packet, unchanged */
 };
 
--- a/src/flow/packet.h
+++ b/src/flow/packet.h
@@ -20,6 +20,13 @@
 	FLOW_RETURNED = 16, /**< the target did not take it */
 };
 
+/** What the data in a target's packet says of its request. */
+enum flow_outcome {
+	FLOW_NO_OUTCOME, /**< not the begin of an answer */
+	FLOW_SERVED,
+	FLOW_FAILED, /**< the target says that it did not serve it */
+};
+
 /** A decoded packet; bytes are borrowed. */
 struct flow_packet {
 	struct flow_key flow; /**< caller's end and the service address */
@@ -30,6 +37,7 @@
 	bool probe;	/**< sent to find out who holds the flow */
 	unsigned copy;	/**< of an opening packet: 0 for the first */
 	size_t data;	/**< bytes of the flow's data in it */
+	enum flow_outcome outcome;
 	struct str bytes;
 };
 
--- a/src/flow/place.c
+++ b/src/flow/place.c
@@ -1,6 +1,7 @@
 #include "flow/place.h"
 
 #include "base/clock.h"
+#include "flow/failing.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -19,6 +20,11 @@
 /** Cost added for stale evidence, thousandths of a slot. */
 #define STALE_MILLI 500
 
+/** A target that fails a part of its requests counts as fuller by this many
+ * times that part of a slot: one that fails a quarter as by a whole one, since
+ * each failure costs its caller another try, or its request. */
+#define FAILING_TIMES 4
+
 static bool
 tried(const struct place_ask *ask, uint64_t id)
 {
@@ -68,6 +74,8 @@
 
 	if (now < v->cold_until_ns)
 		cost = cost * COLD_PERCENT / 100 + MEAN_DEFAULT_MILLI;
+	if (v->said.failing >= FAILING_MILLI)
+		cost += (uint64_t)v->said.failing * FAILING_TIMES;
 	if (strcmp(v->said.domain, domain) != 0)
 		cost += CROSSING_MILLI;
 	if (now > v->heard_ns +
--- a/src/task/flow_agent_task.c
+++ b/src/task/flow_agent_task.c
@@ -184,10 +184,11 @@
 	    "# TYPE pw_requests_waiting gauge\npw_requests_waiting %u\n"
 	    "# TYPE pw_target_state gauge\npw_target_state %d\n"
 	    "# TYPE pw_target_word_age_ms gauge\npw_target_word_age_ms %llu\n"
+	    "# TYPE pw_target_failing_milli gauge\npw_target_failing_milli %u\n"
 	    "# TYPE pw_balancers gauge\npw_balancers %zu\n",
 	    t->fa.flows.open, t->fa.flows.waiting, (int)t->fa.told,
 	    (unsigned long long)((now - t->fa.target.word_ns) / NS_PER_MS),
-	    peers_count(&t->fa.peers));
+	    failing_milli(&t->fa.failing, now), peers_count(&t->fa.peers));
 
 	if (n < 0 || (size_t)n >= cap)
 		return 0;
--- a/tests/unit/script_flow_agent.c
+++ b/tests/unit/script_flow_agent.c
@@ -54,6 +54,8 @@
 		    names[list->flows[i].where]);
 }
 
+static uint32_t failing;
+
 static void
 on_send(void *ctx, uint64_t to, const struct flow_msg *m)
 {
@@ -70,6 +72,10 @@
 			    world_name(to), states[m->u.agent.state],
 			    m->u.agent.gone ? " and gone" : "",
 			    m->u.agent.flows, m->u.agent.waiting);
+		if (failing != m->u.agent.failing)
+			say("  %s: %u of 1000 fail\n", world_name(to),
+			    m->u.agent.failing);
+		failing = m->u.agent.failing;
 		said = m->u.agent.state;
 		return;
 	case FLOW_MSG_FOUND:
@@ -125,6 +131,7 @@
 	running = true;
 	counters = (struct counters){0};
 	said = TARGET_UNKNOWN;
+	failing = 0;
 	setup.id = world_id(w.word[0]);
 	snprintf(service, sizeof(service), "%s", w.word[1]);
 	snprintf(domain, sizeof(domain), "%s", w.word[2]);
@@ -201,6 +208,11 @@
 	p.flow = world_flow(w.word[1], w.word[2]);
 	p.seq = words_number(&w, 3);
 	p.data = strcmp(w.word[0], "data") == 0 ? 100 : 0;
+	if (strcmp(w.word[0], "served") == 0 ||
+	    strcmp(w.word[0], "failed") == 0) {
+		p.data = 100;
+		p.outcome = w.word[0][0] == 's' ? FLOW_SERVED : FLOW_FAILED;
+	}
 	if (strcmp(w.word[0], "back") == 0)
 		p.flags = FLOW_ACK | FLOW_RETURNED;
 	if (strcmp(w.word[0], "backsyn") == 0)
--- a/tests/unit/script_flow_balancer.c
+++ b/tests/unit/script_flow_balancer.c
@@ -143,6 +143,7 @@
 	m.u.agent.busy_milli = words_number(&w, 5);
 	m.u.agent.flows = words_number(&w, 6);
 	m.u.agent.period_ms = w.count > 9 ? words_number(&w, 9) : 500;
+	m.u.agent.failing = words_number(&w, 10);
 	m.u.agent.peers = peers_digest(&fb.peers);
 	fb_message(&fb, &m, script_now_ns);
 }
--- a/tests/unit/script_platform.c
+++ b/tests/unit/script_platform.c
@@ -36,6 +36,7 @@
 void
 do_packet(const char *arg, const char *body)
 {
+	static const char *const outcomes[] = {"", " served", " failed"};
 	const struct edge *e = &platform_edge;
 	struct words w;
 	char bytes[FLOW_PACKET_MAX];
@@ -55,10 +56,11 @@
 		say("  malformed\n");
 		return;
 	}
-	say("  caller %s service %s seq %x ack %x flags %u copy %u data %zu\n",
+	say("  caller %s service %s seq %x ack %x flags %u copy %u data "
+	    "%zu%s\n",
 	    addr_text(addr_unpack(p.flow.caller), caller),
 	    addr_text(addr_unpack(p.flow.service), service), p.seq, p.ack,
-	    p.flags, p.copy, p.data);
+	    p.flags, p.copy, p.data, outcomes[p.outcome]);
 	e->mark_packet(bytes, len, 0x01020304, true);
 	say("  marked ");
 	say_hex(bytes, len);
