agent: what was tried at a target's life before does not show a flow at the next

Change: a new life clears what was tried; only a flow that its caller confirmed here is reset when it comes back; packets more than 300 ms after a try prove nothing. The agent logs each reset with its reason.

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -8,6 +8,9 @@
 /** A target returns a packet within a fraction of this, ms: once it has sent
  * anything later than that, it holds the flow. */
 #define RETURN_MS 5
+/** After this it proves nothing any more, ms: what comes may be of the target's
+ * next life, which has not spoken yet. The flow's own answer still tells. */
+#define TRY_PROOF_MS 300
 
 void
 fa_init(struct fa *fa, const struct fa_setup *setup, const struct fa_out *out,
@@ -203,7 +206,15 @@
 static void
 reset_flow(struct fa *fa, struct held_flow *f, uint64_t now)
 {
+	char caller[ADDR_TEXT_MAX], service[ADDR_TEXT_MAX];
+
 	ctr_inc(fa->ctr, CTR_RESET_TARGET_LOST);
+	event("reset", "s:s, s:s, s:s, s:b, s:b, s:I", "caller",
+	    addr_text(addr_unpack(f->flow.caller), caller), "service",
+	    addr_text(addr_unpack(f->flow.service), service), "reason",
+	    ctr_name(CTR_RESET_TARGET_LOST), "doubted", (int)f->doubted,
+	    "ended", (int)target_ended(&fa->target, now), "idle_ms",
+	    (json_int_t)((now - f->used_ns) / NS_PER_MS));
 	fa->out->reset(fa->ctx, &f->flow, f->caller_ack);
 	fa_smooth(fa, now);
 	table_drop(&fa->flows, f);
@@ -269,7 +280,7 @@
 		fa_refuse(fa, f->via, &p->flow, FLOW_REFUSED_FULL);
 	} else if (f->state == HELD_TRIED && f->probed) {
 		fa_say_where(fa, f->via, &p->flow, FLOW_NOT_HERE);
-	} else if (f->doubted) {
+	} else if (f->doubted && f->state == HELD_OPEN) {
 		reset_flow(fa, f, now);
 		return;
 	} else {
@@ -329,7 +340,8 @@
 		struct held_flow *f =
 		    table_find(&fa->flows, &fa->tries[i].flow);
 
-		if (f == NULL || f->state != HELD_TRIED)
+		if (f == NULL || f->state != HELD_TRIED ||
+		    fa_passed(fa->tries[i].given_ns, TRY_PROOF_MS, now))
 			continue;
 		if (!fa_passed(fa->tries[i].given_ns, RETURN_MS, now)) {
 			fa->tries[kept++] = fa->tries[i];
@@ -413,9 +425,11 @@
 {
 	struct held_flow *f, *next;
 
+	/* What was tried at the life before says nothing of the next. */
+	fa->try_count = 0;
 	HASH_ITER(hh, fa->flows.table, f, next)
 	{
-		if (f->began_ns > until)
+		if (f->began_ns > until && f->state != HELD_TRIED)
 			f->doubted = true;
 		else if (f->state == HELD_OPEN)
 			reset_flow(fa, f, now);
