search: short where most agents are unsure; the next copy is tried again

Change: a search where more than half of the asked were unsure ends after 400 ms as before; a packet that is tried in the last tier costs as much as three more questions; the caller's next copy is tried at agents that are still unsure. Test: flow-search script.

--- a/src/flow/balancer_search.c
+++ b/src/flow/balancer_search.c
@@ -9,6 +9,8 @@
  * 0.7 microseconds among many and 1.4 alone (bench/flow-ask), and some 3 for
  * the two system calls when it travels alone: all take at most a third. */
 #define ASK_PER_MILLI 64
+/** A packet that an agent tries at its target costs as much as so many more. */
+#define PROBE_QUESTIONS 3
 /** Questions are saved up for this, ms. */
 #define ASK_SAVED_MS 1000
 
@@ -145,6 +147,35 @@
 	searches_drop(&fb->searches, e);
 }
 
+static void
+send_probe(struct fb *fb, const struct search *e, const struct agent_view *v,
+    struct str bytes)
+{
+	ctr_inc(fb->ctr, CTR_SEARCH_PROBES);
+	if (e->tier == SEARCH_TIERS)
+		fb->ask_credit_milli -= PROBE_QUESTIONS * 1000;
+	fb_forward(fb, v, bytes, true);
+}
+
+/* Agents that are still unsure try the caller's next copy too: the one before
+ * was lost, or their target was silent. */
+static void
+probe_again(
+    struct fb *fb, struct search *e, const struct flow_packet *p, uint64_t now)
+{
+	if (e->trying == 0 || p->bytes.len == 0 ||
+	    !fb_passed(e->again_ns, SEARCH_TRY_MS, now))
+		return;
+	e->again_ns = now;
+	for (size_t i = 0; i < e->asked_count; i++) {
+		const struct agent_view *v =
+		    agents_find(&fb->agents, e->asked[i].agent);
+
+		if (e->asked[i].unsure && v != NULL)
+			send_probe(fb, e, v, p->bytes);
+	}
+}
+
 void
 fb_seek(struct fb *fb, const struct flow_packet *p, uint64_t now)
 {
@@ -159,6 +190,7 @@
 	}
 	if (!search_hold(e, p))
 		ctr_inc(fb->ctr, CTR_DROP_HELD);
+	probe_again(fb, e, p, now);
 }
 
 void
@@ -198,11 +230,9 @@
 		return;
 	}
 	search_answer(e, v->id, found->where);
-	if (found->where == FLOW_UNSURE && e->held_count > 0) {
-		ctr_inc(fb->ctr, CTR_SEARCH_PROBES);
-		fb_forward(fb, v,
-		    (struct str){e->held[0]->bytes, e->held[0]->len}, true);
-	}
+	if (found->where == FLOW_UNSURE && e->held_count > 0)
+		send_probe(
+		    fb, e, v, (struct str){e->held[0]->bytes, e->held[0]->len});
 	go_on(fb, e, now);
 }
 
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -226,6 +226,7 @@
 		 */
 		if (where == FLOW_NOT_HERE && (!a->answered || a->unsure))
 			e->pending--;
+		e->doubts += where == FLOW_UNSURE && !a->unsure ? 1 : 0;
 		e->trying -= a->unsure ? 1 : 0;
 		e->trying += where == FLOW_UNSURE ? 1 : 0;
 		a->answered = true;
@@ -237,8 +238,10 @@
 bool
 search_expired(const struct search *e, uint64_t now, uint64_t lag_ms)
 {
-	uint64_t life_ms = SEARCH_LIFE_MS + SEARCH_LAG_TIMES * lag_ms;
+	bool trying = e->trying > 0 && 2 * e->doubts > e->asked_count;
+	uint64_t life_ms = trying ? SEARCH_TRY_LIFE_MS : SEARCH_LIFE_MS;
 
+	life_ms += SEARCH_LAG_TIMES * lag_ms;
 	return now > e->began_ns + life_ms * NS_PER_MS;
 }
 
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -30,6 +30,10 @@
  * and four seconds. What agents denied needs no second question meanwhile, and
  * the caller is told the moment that nothing is uncertain any more. */
 #define SEARCH_LIFE_MS 3000
+/** One where most agents were unsure, since all were started again, ends after
+ * this, ms: the caller's next copy is tried at the candidates first, for a
+ * flow lives there more likely than not. */
+#define SEARCH_TRY_LIFE_MS 400
 
 /** Whom a search asks, in this order. */
 enum search_tier {
@@ -73,6 +77,7 @@
 	size_t asked_count;
 	size_t pending; /**< of them without a denial */
 	size_t trying;	/**< of those, they try the packet */
+	size_t doubts;	/**< agents that ever were unsure */
 	bool complete;	/**< none is missing that may come back */
 	struct held_packet *held[SEARCH_HELD_MAX];
 	size_t held_count;
