--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 
 BUILD ?= build
 
-.PHONY: all deps demo check soak faultsoak bench capacity format clean
+.PHONY: all deps demo check soak flowsoak faultsoak bench capacity format clean
 
 all: $(BUILD)/build.ninja
 	ninja -C $(BUILD) --quiet
@@ -26,6 +26,11 @@
 soak: all
 	$(BUILD)/tests/soak $(SEED) $(STEPS) $(MODE)
 
+BALANCERS ?= 9
+AGENTS ?= 24
+flowsoak: all
+	$(BUILD)/tests/flow-run $(SEED) $(SECONDS) $(BALANCERS) $(AGENTS) faults
+
 SECONDS ?= 20
 PROCS ?= 12
 faultsoak: all
--- a/src/flow/balancer_search.c
+++ b/src/flow/balancer_search.c
@@ -133,7 +133,7 @@
 		ask_next(fb, e, now);
 	if (may_ask(fb, e) && search_again(e, now, fb->lag_ms))
 		ask_again(fb, e);
-	verdict = search_verdict(e, now, fb->lag_ms);
+	verdict = search_verdict(e, &fb->agents, now, fb->lag_ms);
 	if (verdict == SEARCH_NOBODY && !fb_certain(fb, now))
 		verdict = search_expired(e, now, fb->lag_ms) ? SEARCH_UNKNOWN
 							     : SEARCH_OPEN;
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -246,10 +246,11 @@
 }
 
 enum search_verdict
-search_verdict(const struct search *e, uint64_t now, uint64_t lag_ms)
+search_verdict(const struct search *e, const struct agents *agents,
+    uint64_t now, uint64_t lag_ms)
 {
 	if (e->tier == SEARCH_TIERS && e->asked_count > 0 && e->pending == 0 &&
-	    e->complete)
+	    e->complete && e->changes == agents->changes)
 		return SEARCH_NOBODY;
 	return search_expired(e, now, lag_ms) ? SEARCH_UNKNOWN : SEARCH_OPEN;
 }
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -126,9 +126,9 @@
 void search_answer(struct search *e, uint64_t agent, enum flow_where where);
 /** Whether a search has taken SEARCH_LIFE_MS, and what the lag adds. */
 bool search_expired(const struct search *e, uint64_t now, uint64_t lag_ms);
-/** What is known so far. */
-enum search_verdict search_verdict(
-    const struct search *e, uint64_t now, uint64_t lag_ms);
+/** What is known so far; an agent that came since all were asked counts. */
+enum search_verdict search_verdict(const struct search *e,
+    const struct agents *agents, uint64_t now, uint64_t lag_ms);
 /** The first agent that has not denied yet; 0 for none. */
 uint64_t search_open(const struct search *e);
 /** End a search. */
