--- a/src/flow/balancer_search.c
+++ b/src/flow/balancer_search.c
@@ -10,7 +10,7 @@
  * the two system calls when it travels alone: all take at most a third. */
 #define ASK_PER_MILLI 64
 /** A packet that an agent tries at its target costs as much as so many more. */
-#define PROBE_QUESTIONS 3
+#define PROBE_QUESTIONS INT64_C(3)
 /** Questions are saved up for this, ms. */
 #define ASK_SAVED_MS 1000
 
--- a/src/flow/gossip.c
+++ b/src/flow/gossip.c
@@ -7,7 +7,7 @@
 #define PARTS_PER_S 3
 /** Parts saved up: when all start together, those that everybody turns to
  * tell some hundreds. */
-#define PARTS_SAVED 1024
+#define PARTS_SAVED INT64_C(1024)
 /** The same list again after this, in case it was lost, ms. */
 #define SAME_AGAIN_MS 2000
 /** A list that has changed again after this, ms. */
