request: a datagram given back has a flag of that name

Cause: the flag shared its word with the users' platform, whose words stand in platform/ alone, though it is a flag of the requests' own datagrams. Change: renamed, nothing else. The path in task/platform.h is the requests' own store and stays.

--- a/src/decide/message.h
+++ b/src/decide/message.h
@@ -47,12 +47,12 @@
 
 /** How a datagram came to where it is. */
 enum datagram_flag {
-	DGRAM_PLACED = 1,  /**< the home chose the receiver as owner */
-	DGRAM_RETRIED = 2, /**< a peer's target did not run it */
-	DGRAM_PERMIT = 4,  /**< sent to the issuer of its permit */
-	DGRAM_BOUNCED = 8, /**< the sender gives the flow back */
-	DGRAM_ASKED = 16,  /**< a new home asks the one before it */
-	DGRAM_TOLD = 32,   /**< with ASKED: it did not know either */
+	DGRAM_PLACED = 1,     /**< the home chose the receiver as owner */
+	DGRAM_RETRIED = 2,    /**< a peer's target did not run it */
+	DGRAM_PERMIT = 4,     /**< sent to the issuer of its permit */
+	DGRAM_GIVEN_BACK = 8, /**< the sender gives the flow back */
+	DGRAM_ASKED = 16,     /**< a new home asks the one before it */
+	DGRAM_TOLD = 32,      /**< with ASKED: it did not know either */
 };
 
 /** A caller's datagram on its way to a target. */
--- a/src/request/route.c
+++ b/src/request/route.c
@@ -67,7 +67,7 @@
 
 	e = load_choose(a->loads, mbr_group(a->members, d->flow.service),
 	    &a->cfg.service, hash,
-	    (d->flags & DGRAM_BOUNCED) != 0 ? in->from : 0, now);
+	    (d->flags & DGRAM_GIVEN_BACK) != 0 ? in->from : 0, now);
 	if (e == NULL)
 		e = mbr_home(a->members, d->flow.service, hash, 0);
 	if (e == NULL) {
@@ -137,7 +137,7 @@
 		agt_forward(a, owner, d, DGRAM_PLACED, d->deadline_ms);
 		return;
 	}
-	if ((d->flags & DGRAM_BOUNCED) == 0 && ask_previous(a, in, now))
+	if ((d->flags & DGRAM_GIVEN_BACK) == 0 && ask_previous(a, in, now))
 		return;
 	if (in->request->kind == REQUEST_ACK ||
 	    in->request->kind == REQUEST_RESET)
@@ -165,8 +165,8 @@
 		agt_forward(a, owner, d, 0, d->deadline_ms);
 		return;
 	}
-	if ((d->flags & (DGRAM_PLACED | DGRAM_BOUNCED)) != 0)
-		bounce = DGRAM_BOUNCED;
+	if ((d->flags & (DGRAM_PLACED | DGRAM_GIVEN_BACK)) != 0)
+		bounce = DGRAM_GIVEN_BACK;
 	agt_forward(a, home->m.id, d, bounce, d->deadline_ms);
 }
 
@@ -186,7 +186,7 @@
 
 	if (a->cfg.service.weigh != CFG_WEIGH_BALANCE || !flow_idle(f, now))
 		return false;
-	if ((in->dgram->flags & (DGRAM_PLACED | DGRAM_BOUNCED)) != 0)
+	if ((in->dgram->flags & (DGRAM_PLACED | DGRAM_GIVEN_BACK)) != 0)
 		return false;
 	g = mbr_group(a->members, in->dgram->flow.service);
 	best =
@@ -196,7 +196,7 @@
 	registry_release(a, f);
 	ctr_inc(a->ctr, CTR_REPLACED);
 	back = *in->dgram;
-	back.flags = DGRAM_BOUNCED;
+	back.flags = DGRAM_GIVEN_BACK;
 	again = *in;
 	again.dgram = &back;
 	again.from = agt_id(a);
