failing: an answer newer than the last tick counts

Cause: read in the change itself: word on an opening goes by the time of the last tick; an answer after it made the time that had passed wrap around, so that the opening was told with no failing part at all and overrode the heartbeat's. Change: time before the latest answer counts as none. Test: flow-agent script, time between two ticks; no part was told before.

--- a/src/flow/failing.c
+++ b/src/flow/failing.c
@@ -24,7 +24,9 @@
 uint32_t
 failing_milli(const struct failing *f, uint64_t now)
 {
-	uint64_t halves = (now - f->noted_ns) / (FAILING_HALF_MS * NS_PER_MS);
+	/* Callers that go by the last tick are behind the latest answer. */
+	uint64_t passed = now > f->noted_ns ? now - f->noted_ns : 0;
+	uint64_t halves = passed / (FAILING_HALF_MS * NS_PER_MS);
 
 	return halves > HALVES_MOST ? 0 : f->milli >> halves;
 }
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -38,6 +38,7 @@
     {"find", do_find},
     {"tried", do_tried},
     {"await", do_await},
+    {"between", do_between},
     {"stop", do_stop},
     {"packet", do_packet},
     {"call", do_call},
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -57,6 +57,7 @@
 void do_target(const char *arg, const char *body);
 void do_find(const char *arg, const char *body);
 void do_tried(const char *arg, const char *body);
+void do_between(const char *arg, const char *body);
 void do_await(const char *arg, const char *body);
 void do_stop(const char *arg, const char *body);
 
--- a/tests/unit/script_flow_agent.c
+++ b/tests/unit/script_flow_agent.c
@@ -84,6 +84,10 @@
 	case FLOW_MSG_ACCEPTED:
 		say("  %s: accepted %s\n", world_name(to),
 		    world_name(m->u.flow.flow.caller));
+		if (m->u.flow.failing != failing)
+			say("  %s: %u of 1000 fail\n", world_name(to),
+			    m->u.flow.failing);
+		failing = m->u.flow.failing;
 		return;
 	case FLOW_MSG_REFUSED:
 		say("  %s: refused %s, %s\n", world_name(to),
@@ -248,6 +252,14 @@
 	    script_now_ns);
 }
 
+/* between MS: time passes between two ticks */
+void
+do_between(const char *arg, const char *body)
+{
+	(void)body;
+	script_now_ns += strtoul(arg, NULL, 10) * NS_PER_MS;
+}
+
 /* await MS */
 void
 do_await(const char *arg, const char *body)
