--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -88,6 +88,8 @@
 	X(RETRY_AWAY, "retry_flow_away", "packets returned: flow not there") \
 	X(SEARCHES, "searches", "searches for the agent of a flow") \
 	X(SEARCH_ASKED, "search_asked", "agents asked for a flow") \
+	X(ERRANDS, "errands", "searches on behalf of other balancers") \
+	X(DELEGATES_MUTE, "delegates_mute", "delegates that did not answer") \
 	X(SEARCH_PROBES, "search_probes", \
 	    "packets tried at targets whose agent is unsure") \
 	X(SEARCH_UNKNOWN, "searches_unknown", \
--- a/src/codec/flow.pb-c.c
+++ b/src/codec/flow.pb-c.c
@@ -502,7 +502,7 @@
   assert(message->base.descriptor == &pwf__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pwf__agent__field_descriptors[13] =
+static const ProtobufCFieldDescriptor pwf__agent__field_descriptors[14] =
 {
   {
     "service",
@@ -660,8 +660,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ask",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Agent, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__agent__field_indices_by_name[] = {
+  13,   /* field[13] = ask */
   6,   /* field[6] = busy_milli */
   4,   /* field[4] = cold_ms */
   2,   /* field[2] = data_port */
@@ -679,7 +692,7 @@
 static const ProtobufCIntRange pwf__agent__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor pwf__agent__descriptor =
 {
@@ -689,14 +702,14 @@
   "Pwf__Agent",
   "pwf",
   sizeof(Pwf__Agent),
-  13,
+  14,
   pwf__agent__field_descriptors,
   pwf__agent__field_indices_by_name,
   1,  pwf__agent__number_ranges,
   (ProtobufCMessageInit) pwf__agent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[7] =
+static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[12] =
 {
   {
     "domain",
@@ -782,20 +795,85 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "near_agents",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Balancer, near_agents),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "near_set",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Balancer, near_set),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Balancer, whole),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Balancer, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "settled",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Balancer, settled),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__balancer__field_indices_by_name[] = {
   5,   /* field[5] = agent_set */
   4,   /* field[4] = agents */
+  10,   /* field[10] = ask */
   6,   /* field[6] = capacity */
   0,   /* field[0] = domain */
   3,   /* field[3] = leaving */
+  7,   /* field[7] = near_agents */
+  8,   /* field[8] = near_set */
   2,   /* field[2] = peers */
+  11,   /* field[11] = settled */
   1,   /* field[1] = version */
+  9,   /* field[9] = whole */
 };
 static const ProtobufCIntRange pwf__balancer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor pwf__balancer__descriptor =
 {
@@ -805,7 +883,7 @@
   "Pwf__Balancer",
   "pwf",
   sizeof(Pwf__Balancer),
-  7,
+  12,
   pwf__balancer__field_descriptors,
   pwf__balancer__field_indices_by_name,
   1,  pwf__balancer__number_ranges,
@@ -876,7 +954,7 @@
   (ProtobufCMessageInit) pwf__peer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__peers__field_descriptors[2] =
+static const ProtobufCFieldDescriptor pwf__peers__field_descriptors[5] =
 {
   {
     "peers",
@@ -902,15 +980,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "same",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Peers, same),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sample",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Peers, sample),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "near",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Peers, near),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__peers__field_indices_by_name[] = {
   1,   /* field[1] = agents */
+  4,   /* field[4] = near */
   0,   /* field[0] = peers */
+  2,   /* field[2] = same */
+  3,   /* field[3] = sample */
 };
 static const ProtobufCIntRange pwf__peers__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pwf__peers__descriptor =
 {
@@ -920,7 +1037,7 @@
   "Pwf__Peers",
   "pwf",
   sizeof(Pwf__Peers),
-  2,
+  5,
   pwf__peers__field_descriptors,
   pwf__peers__field_indices_by_name,
   1,  pwf__peers__number_ranges,
@@ -1057,7 +1174,7 @@
   (ProtobufCMessageInit) pwf__flow__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__found__field_descriptors[4] =
+static const ProtobufCFieldDescriptor pwf__found__field_descriptors[5] =
 {
   {
     "caller",
@@ -1107,17 +1224,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owner",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Found, owner),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__found__field_indices_by_name[] = {
   2,   /* field[2] = ack */
   0,   /* field[0] = caller */
+  4,   /* field[4] = owner */
   1,   /* field[1] = service */
   3,   /* field[3] = where */
 };
 static const ProtobufCIntRange pwf__found__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor pwf__found__descriptor =
 {
@@ -1127,7 +1257,7 @@
   "Pwf__Found",
   "pwf",
   sizeof(Pwf__Found),
-  4,
+  5,
   pwf__found__field_descriptors,
   pwf__found__field_indices_by_name,
   1,  pwf__found__number_ranges,
--- a/src/codec/flow.pb-c.h
+++ b/src/codec/flow.pb-c.h
@@ -49,10 +49,11 @@
   uint64_t peers;
   protobuf_c_boolean gone;
   uint32_t failing;
+  protobuf_c_boolean ask;
 };
 #define PWF__AGENT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__agent__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Pwf__Balancer
@@ -65,10 +66,15 @@
   uint32_t agents;
   uint64_t agent_set;
   uint32_t capacity;
+  uint32_t near_agents;
+  uint64_t near_set;
+  protobuf_c_boolean whole;
+  protobuf_c_boolean ask;
+  protobuf_c_boolean settled;
 };
 #define PWF__BALANCER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__balancer__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Pwf__Peer
@@ -89,10 +95,13 @@
   size_t n_peers;
   Pwf__Peer **peers;
   protobuf_c_boolean agents;
+  protobuf_c_boolean same;
+  protobuf_c_boolean sample;
+  protobuf_c_boolean near;
 };
 #define PWF__PEERS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__peers__descriptor) \
-    , 0,NULL, 0 }
+    , 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Pwf__Flow
@@ -119,10 +128,11 @@
   uint64_t service;
   uint32_t ack;
   uint32_t where;
+  uint64_t owner;
 };
 #define PWF__FOUND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__found__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Pwf__Find
--- a/src/codec/flow_wire.c
+++ b/src/codec/flow_wire.c
@@ -25,6 +25,7 @@
 	out.failing = a->failing;
 	out.period_ms = a->period_ms;
 	out.peers = a->peers;
+	out.ask = a->ask;
 	out.gone = a->gone;
 	return out;
 }
@@ -40,6 +41,11 @@
 	out.leaving = b->leaving;
 	out.agents = b->agents;
 	out.agent_set = b->agent_set;
+	out.near_agents = b->near_agents;
+	out.near_set = b->near_set;
+	out.whole = b->whole;
+	out.ask = b->ask;
+	out.settled = b->settled;
 	out.capacity = b->capacity;
 	return out;
 }
@@ -89,6 +95,9 @@
 		refs[i] = &items[i];
 	}
 	peers.agents = list->agents;
+	peers.same = list->same;
+	peers.sample = list->sample;
+	peers.near = list->near;
 	peers.n_peers = list->count;
 	peers.peers = refs;
 	env->body_case = PWF__ENVELOPE__BODY_PEERS;
@@ -113,6 +122,7 @@
 		items[i].service = list->flows[i].flow.service;
 		items[i].ack = list->flows[i].ack;
 		items[i].where = list->flows[i].where;
+		items[i].owner = list->flows[i].owner;
 		refs[i] = &items[i];
 	}
 	find.n_flows = list->count;
@@ -201,6 +211,7 @@
 	out->failing = a->failing;
 	out->period_ms = a->period_ms;
 	out->peers = a->peers;
+	out->ask = a->ask;
 	out->gone = a->gone;
 	return true;
 }
@@ -216,6 +227,11 @@
 	out->leaving = b->leaving;
 	out->agents = b->agents;
 	out->agent_set = b->agent_set;
+	out->near_agents = b->near_agents;
+	out->near_set = b->near_set;
+	out->whole = b->whole;
+	out->ask = b->ask;
+	out->settled = b->settled;
 	out->capacity = b->capacity;
 	return true;
 }
@@ -226,6 +242,9 @@
 	if (list == NULL || list->n_peers > FLOW_PEERS_MAX)
 		return false;
 	out->agents = list->agents;
+	out->same = list->same;
+	out->sample = list->sample;
+	out->near = list->near;
 	out->count = (uint32_t)list->n_peers;
 	for (size_t i = 0; i < list->n_peers; i++)
 		out->peers[i] = (struct msg_peer){list->peers[i]->id,
@@ -242,11 +261,12 @@
 	for (size_t i = 0; i < list->n_flows; i++) {
 		const Pwf__Found *f = list->flows[i];
 
-		if (f->where > FLOW_UNSURE)
+		if (f->where > FLOW_WAIT)
 			return false;
 		out->flows[i].flow = (struct flow_key){f->caller, f->service};
 		out->flows[i].ack = f->ack;
 		out->flows[i].where = (enum flow_where)f->where;
+		out->flows[i].owner = f->owner;
 	}
 	return true;
 }
--- a/src/flow/agent.h
+++ b/src/flow/agent.h
@@ -78,8 +78,9 @@
 	uint64_t tried_ns; /**< latest try_target() */
 	bool trying;	   /**< its outcome is due */
 	bool met;	   /**< a balancer has spoken to it */
+	bool knows_balancers; /**< one said that there are no others */
 	uint64_t told_ns;
-	unsigned rounds;   /**< of heartbeats */
+	uint64_t told_far_ns;
 	uint64_t asked_ns; /**< a list of balancers was asked for */
 	uint64_t expired_ns;
 	enum target_state told; /**< state that balancers were told last */
--- a/src/flow/agent_members.c
+++ b/src/flow/agent_members.c
@@ -8,13 +8,17 @@
 #define SILENT_MS 100
 /** A longer gap between ticks means that answers may lie unread, ms. */
 #define GAP_MS 150
-/** Heartbeat: this, and more for each balancer that gets it, ms. */
+/** Heartbeat to balancers of the own failure domain: this, and more for each
+ * that gets it, the more of them there are, ms. */
 #define TELL_MS 400
 #define TELL_EACH_MS 25
-#define TELL_MAX_MS 20000
-/** Balancers of other failure domains get every such heartbeat: bytes between
- * domains cost, and they turn to this agent only when their own are full. */
-#define FAR_ROUNDS 3
+#define TELL_FEW 16
+#define TELL_MANY_EACH_MS 130
+#define TELL_MAX_MS 60000
+/** Those of other failure domains get one so many times as seldom: bytes
+ * between domains cost, and they turn to this agent only when their own are
+ * full. */
+#define FAR_TIMES 3
 /** In the first seconds, while balancers are still found, ms; and for each
  * of many, so that all starting together does not flood them. */
 #define TELL_YOUNG_MS 250
@@ -39,24 +43,57 @@
  * that is not heard of is forgotten, peers_forget_ms(). */
 #define ASK_MS 4000
 #define ASK_EACH_MS 60
+/** And this often until one says that there are no others, ms. */
+#define ASK_MORE_MS 1000
 /** Flows are looked through for old ones this often, ms. */
 #define EXPIRE_MS 1000
 
-/* Grows with the number of balancers, so that their share of it does not. */
 static uint64_t
-period_ms(const struct fa *fa, uint64_t now)
+period_of(uint64_t count)
 {
-	uint64_t known = peers_count(&fa->peers);
-	uint64_t ms = TELL_MS + TELL_EACH_MS * known;
-	uint64_t young_ms = TELL_YOUNG_EACH_MS * known;
+	uint64_t many = count > TELL_FEW ? count - TELL_FEW : 0;
+	uint64_t ms =
+	    TELL_MS + TELL_EACH_MS * (count - many) + TELL_MANY_EACH_MS * many;
 
-	if (young_ms < TELL_YOUNG_MS)
-		young_ms = TELL_YOUNG_MS;
-	if (!fa_passed(fa->target.began_ns, YOUNG_MS, now) && ms > young_ms)
-		return young_ms;
 	return ms < TELL_MAX_MS ? ms : TELL_MAX_MS;
 }
 
+static uint64_t
+young_period_of(uint64_t count)
+{
+	uint64_t ms = TELL_YOUNG_EACH_MS * count;
+
+	return ms > TELL_YOUNG_MS ? ms : TELL_YOUNG_MS;
+}
+
+/* Grow with the number of balancers, so that their share of them does not. */
+static uint64_t
+near_period_ms(const struct fa *fa, uint64_t now)
+{
+	uint64_t near = peers_near_count(&fa->peers);
+	uint64_t ms = period_of(near);
+	uint64_t young_ms = young_period_of(near);
+
+	return fa_passed(fa->target.began_ns, YOUNG_MS, now) || ms < young_ms
+		   ? ms
+		   : young_ms;
+}
+
+static uint64_t
+far_period_ms(const struct fa *fa, uint64_t now)
+{
+	uint64_t known = peers_count(&fa->peers);
+	uint64_t ms = FAR_TIMES * (TELL_MS + TELL_EACH_MS * known);
+	uint64_t young_ms = FAR_TIMES * young_period_of(known);
+
+	if (known <= FEW_BALANCERS)
+		young_ms = young_period_of(known);
+	ms = ms < TELL_MAX_MS ? ms : TELL_MAX_MS;
+	return fa_passed(fa->target.began_ns, YOUNG_MS, now) || ms < young_ms
+		   ? ms
+		   : young_ms;
+}
+
 /* ---- messages ---- */
 
 static enum flow_where
@@ -92,6 +129,7 @@
 	struct flow_msg m = {.kind = FLOW_MSG_AGENT};
 	struct msg_agent *a = &m.u.agent;
 	uint64_t cold = fa->target.cold_until_ns;
+	uint64_t later = now + YOUNG_MS * NS_PER_MS;
 
 	a->service = fa->target.service;
 	str_copy(a->domain, sizeof(a->domain), str_of(fa->setup.domain));
@@ -104,27 +142,44 @@
 	a->flows = fa->flows.open;
 	a->failing = failing_milli(&fa->failing, now);
 	/* What follows the first seconds is told, lest silence be seen then. */
-	a->period_ms = (uint32_t)period_ms(fa, now + YOUNG_MS * NS_PER_MS);
-	if (e != NULL && !peers_near(&fa->peers, e))
-		a->period_ms *= FAR_ROUNDS;
-	/* A digest that fits nobody brings a list, and fresh ages with it. */
+	a->period_ms = (uint32_t)(e != NULL && !peers_near(&fa->peers, e)
+				      ? far_period_ms(fa, later)
+				      : near_period_ms(fa, later));
 	a->gone = fa->leaving_ns != 0 && target_ended(&fa->target, now);
-	a->peers = ask ? 0 : peers_digest(&fa->peers);
+	a->ask = ask;
+	a->peers = peers_digest(&fa->peers);
 	fa_send(fa, to, &m);
 }
 
 static void
 on_peers(struct fa *fa, const struct msg_peers *list, uint64_t now)
 {
+	uint64_t new_ones[FLOW_PEERS_MAX];
+	size_t count = 0;
+
+	if (list->same) {
+		peers_confirm(&fa->peers, now);
+		/* They were told a period for the few that it knew then. */
+		if (!fa->knows_balancers &&
+		    !fa_passed(fa->target.began_ns, ALONE_MS, now))
+			fa->tell_again = 1;
+		fa->knows_balancers = true;
+	}
 	for (uint32_t i = 0; i < list->count; i++) {
 		uint64_t age = list->peers[i].age_ms * NS_PER_MS;
 
-		if (age > now || age > peers_forget_ms(&fa->peers) * NS_PER_MS)
-			continue;
-		if (peers_note(&fa->peers, list->peers[i].id, now - age,
+		if (age <= now &&
+		    age <= peers_forget_ms(&fa->peers) * NS_PER_MS &&
+		    peers_note(&fa->peers, list->peers[i].id, now - age,
 			list->peers[i].domain))
-			tell(fa, list->peers[i].id, false, now);
+			new_ones[count++] = list->peers[i].id;
 	}
+	/* Told when all are known: they compare what this agent knows. Who is
+	 * new in a sample may have more to tell. */
+	for (size_t i = 0; i < count; i++)
+		tell(fa, new_ones[i], list->sample && i == 0, now);
+	if (count > 0)
+		fa->knows_balancers = false;
 }
 
 void
@@ -223,6 +278,8 @@
 {
 	uint64_t ms = ASK_EACH_MS * (uint64_t)peers_count(&fa->peers);
 
+	if (!fa->knows_balancers)
+		return ASK_MORE_MS;
 	return ms > ASK_MS ? ms : ASK_MS;
 }
 
@@ -240,6 +297,7 @@
 	if (whom != SIZE_MAX)
 		fa->asked_ns = now;
 	fa->told_ns = now;
+	fa->told_far_ns = far ? now : fa->told_far_ns;
 	fa_smooth(fa, now);
 	HASH_ITER(hh, fa->peers.table, e, next)
 	{
@@ -281,11 +339,10 @@
 		fa->tell_again = TELL_TWICE;
 	}
 	if (fa->tell_again > 0 || alone(fa, now) ||
-	    fa_passed(fa->told_ns, period_ms(fa, now), now)) {
-		bool young = !fa_passed(fa->target.began_ns, YOUNG_MS, now) &&
-			     peers_count(&fa->peers) <= FEW_BALANCERS;
-		bool far = fa->tell_again > 0 || young ||
-			   fa->rounds++ % FAR_ROUNDS == 0;
+	    fa_passed(fa->told_ns, near_period_ms(fa, now), now)) {
+		bool far =
+		    fa->tell_again > 0 ||
+		    fa_passed(fa->told_far_ns, far_period_ms(fa, now), now);
 
 		fa->tell_again -= fa->tell_again > 0 ? 1 : 0;
 		tell_all(fa, far, now);
--- a/src/flow/agents.c
+++ b/src/flow/agents.c
@@ -121,6 +121,7 @@
 		a->changes++;
 	v->sequence = m->sequence;
 	v->said = m->u.agent;
+	v->domain_tag = flow_service_tag(str_of(v->said.domain));
 	v->heard_ns = now;
 	v->cold_until_ns = now + m->u.agent.cold_ms * NS_PER_MS;
 	v->placed = 0;
@@ -209,7 +210,8 @@
 }
 
 size_t
-agents_recent(const struct agents *a, uint64_t now, uint64_t *digest)
+agents_recent(
+    const struct agents *a, uint32_t domain, uint64_t now, uint64_t *digest)
 {
 	size_t count = 0;
 	struct agent_view *v, *next;
@@ -217,7 +219,7 @@
 	*digest = 0;
 	HASH_ITER(hh, a->table, v, next)
 	{
-		if (!recent(v, now))
+		if (!recent(v, now) || (domain != 0 && v->domain_tag != domain))
 			continue;
 		count++;
 		*digest ^= XXH3_64bits(&v->id, sizeof(v->id));
@@ -226,17 +228,19 @@
 }
 
 size_t
-agents_list(
-    const struct agents *a, size_t from, uint64_t now, struct msg_peers *out)
+agents_list(const struct agents *a, uint32_t domain, size_t from, uint64_t now,
+    struct msg_peers *out)
 {
 	size_t at = 0;
 	struct agent_view *v, *next;
 
 	out->agents = true;
+	out->near = domain != 0;
 	out->count = 0;
 	HASH_ITER(hh, a->table, v, next)
 	{
-		if (at++ < from || !recent(v, now))
+		if (at++ < from || !recent(v, now) ||
+		    (domain != 0 && v->domain_tag != domain))
 			continue;
 		if (out->count == FLOW_PEERS_MAX)
 			return at - 1;
--- a/src/flow/agents.h
+++ b/src/flow/agents.h
@@ -32,6 +32,7 @@
 	uint64_t life_before; /**< its incarnation before this one */
 	uint64_t sequence;
 	struct msg_agent said; /**< its latest heartbeat */
+	uint32_t domain_tag;   /**< of its failure domain */
 	uint64_t heard_ns;
 	uint64_t cold_until_ns;
 	uint64_t avoid_until_ns; /**< did not answer an opening in time */
@@ -85,15 +86,18 @@
 bool agents_awaited(const struct agent_view *v, uint64_t now);
 /**
  * Agents that are not silent, or waited for.
+ * @param domain tag of their failure domain; 0 for all
  * @param digest of who they are; the order does not matter
  */
-size_t agents_recent(const struct agents *a, uint64_t now, uint64_t *digest);
+size_t agents_recent(
+    const struct agents *a, uint32_t domain, uint64_t now, uint64_t *digest);
 /**
  * Write a part of the list of them.
+ * @param domain as above
  * @param from 0, then what the part before returned
  * @return where the next part begins; 0 when this was the last
  */
-size_t agents_list(
-    const struct agents *a, size_t from, uint64_t now, struct msg_peers *out);
+size_t agents_list(const struct agents *a, uint32_t domain, size_t from,
+    uint64_t now, struct msg_peers *out);
 
 #endif
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -5,16 +5,12 @@
 
 #include <string.h>
 
-/** Agents have all had time for a heartbeat when this has passed beyond the
- * least period that they told, that of the own failure domain, ms. */
-#define WARM_MORE_MS 150
-/** After this an agent that restarted while this balancer did is known, ms. */
-#define RETURN_MS 5000
 /** A balancer not heard for this does not count as a watcher, ms. */
 #define WATCHER_LOST_MS 1800
 /** Openings and searches at one time. */
 #define OPENINGS_MAX 4096
 #define SEARCHES_MAX 1024
+#define ERRANDS_MAX 4096
 
 void
 fb_init(struct fb *fb, const struct fb_setup *setup, const struct fb_out *out,
@@ -24,6 +20,7 @@
 	fb->hints = hint_new(setup->hint_capacity);
 	fb->openings.capacity = OPENINGS_MAX;
 	fb->searches.capacity = SEARCHES_MAX;
+	fb->errands.capacity = ERRANDS_MAX;
 	fb->peers.self = setup->id;
 	gossip_init(&fb->gossip);
 	fb->peers.domain_tag = flow_service_tag(str_of(setup->domain));
@@ -39,6 +36,7 @@
 	hint_free(fb->hints);
 	openings_clear(&fb->openings);
 	searches_clear(&fb->searches);
+	searches_clear(&fb->errands);
 	agents_clear(&fb->agents);
 	peers_clear(&fb->peers);
 	mentions_clear(&fb->mentions);
@@ -53,14 +51,6 @@
 	return now >= since + ms * NS_PER_MS;
 }
 
-bool
-fb_warm(const struct fb *fb, uint64_t now)
-{
-	return fb->first_agent_ns != 0 &&
-	       fb_passed(
-		   fb->first_agent_ns, fb->least_period_ms + WARM_MORE_MS, now);
-}
-
 bool
 fb_heard_lately(const struct peer *e, uint64_t now)
 {
@@ -68,83 +58,11 @@
 	       !fb_passed(e->direct_ns, WATCHER_LOST_MS, now);
 }
 
-size_t
-fb_recent_agents(struct fb *fb, uint64_t *digest, uint64_t now)
-{
-	if (fb->recent_ns == 0 || fb_passed(fb->recent_ns, FB_TICK_MS, now)) {
-		fb->recent_ns = now;
-		fb->recent_count =
-		    agents_recent(&fb->agents, now, &fb->recent_digest);
-	}
-	*digest = fb->recent_digest;
-	return fb->recent_count;
-}
-
-/*
- * Whether this balancer hears as many agents as each other that was heard
- * lately. False when there is no other.
- */
-static bool
-hears_enough(const struct fb *fb, uint64_t now)
-{
-	uint64_t digest;
-	size_t known = agents_recent(&fb->agents, now, &digest);
-	size_t compared = 0;
-	struct peer *e, *next;
-
-	HASH_ITER(hh, fb->peers.table, e, next)
-	{
-		if (!fb_heard_lately(e, now))
-			continue;
-		if (e->agents > known)
-			return false;
-		compared++;
-	}
-	return compared > 0 && known > 0;
-}
-
-/*
- * Whether each other balancer that was heard lately has told once which agents
- * it hears. What it heard since says so itself: a later word of the other
- * would be no newer. False when there is no other.
- */
-static bool
-all_told(const struct fb *fb, uint64_t now)
-{
-	size_t compared = 0;
-	struct peer *e, *next;
-
-	HASH_ITER(hh, fb->peers.table, e, next)
-	{
-		if (!fb_heard_lately(e, now))
-			continue;
-		if (!e->told_us)
-			return false;
-		compared++;
-	}
-	return compared > 0;
-}
-
-/*
- * Whether a flow that no agent claims is gone for certain: an agent that
- * restarts or stands still just now, which a young balancer has never heard
- * and others wait for, may hold it.
- */
 bool
-fb_certain(struct fb *fb, uint64_t now)
-{
-	if (!fb_warm(fb, now) || now < fb->trusted_ns ||
-	    agents_live(&fb->agents, now) == 0 ||
-	    mentions_open(&fb->mentions, now))
-		return false;
-	return fb_passed(fb->began_ns, RETURN_MS, now) || all_told(fb, now);
-}
-
-bool
-fb_ready(const struct fb *fb, uint64_t now)
+fb_ready(struct fb *fb, uint64_t now)
 {
 	return !fb->leaving && fb->routes.version != 0 &&
-	       (fb_warm(fb, now) || hears_enough(fb, now)) &&
+	       (fb_warm(fb, now) || fb_hears_enough(fb, now)) &&
 	       (now < fb->trusted_ns || agents_live(&fb->agents, now) > 0);
 }
 
@@ -185,8 +103,14 @@
 	    str_of(fb->setup.domain));
 	m.u.balancer.version = fb->routes.version;
 	m.u.balancer.peers = peers_digest(&fb->peers);
-	m.u.balancer.agents =
-	    (uint32_t)fb_recent_agents(fb, &m.u.balancer.agent_set, now);
+	fb_count_agents(fb, now);
+	m.u.balancer.agents = fb->recent.all.count;
+	m.u.balancer.agent_set = fb->recent.all.digest;
+	m.u.balancer.near_agents = fb->recent.near.count;
+	m.u.balancer.near_set = fb->recent.near.digest;
+	m.u.balancer.whole = !fb_near_scope(fb, now);
+	m.u.balancer.settled = fb->knows_agents;
+	m.u.balancer.ask = fb_wants_list(fb, to, now);
 	m.u.balancer.capacity = fb->setup.capacity;
 	m.u.balancer.leaving = fb->leaving;
 	fb_send(fb, to, &m);
@@ -291,7 +215,8 @@
 		fb_on_away(fb, m, now);
 		return;
 	case FLOW_MSG_FIND:
-		break;
+		fb_on_find(fb, m, now);
+		return;
 	}
 	ctr_inc(fb->ctr, CTR_DROP_KIND);
 }
--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -40,6 +40,13 @@
 	uint64_t seed;	   /**< of the random numbers */
 };
 
+/** Agents heard lately. */
+struct recent_agents {
+	uint64_t at_ns; /**< when they were counted, or 0 */
+	struct peer_set all;
+	struct peer_set near; /**< those of the own failure domain */
+};
+
 /** A balancer. */
 struct fb {
 	struct fb_setup setup;
@@ -55,12 +62,14 @@
 	struct hint_cache *hints;
 	struct openings openings;
 	struct searches searches;
+	struct searches errands; /**< searches for other balancers */
+	struct delegates delegates;
 	struct rng rng;
 	uint64_t sequence;
 	/** Questions to all agents that are allowed, times 1000. */
 	int64_t ask_credit_milli;
 	uint64_t lag_ms; /**< how late this process runs */
-	bool questions;	 /**< some are gathered */
+	bool gathered;	 /**< questions or answers */
 	uint64_t began_ns;
 	uint64_t least_period_ms; /**< of the agents' heartbeats */
 	uint64_t first_agent_ns;  /**< when the first agent was heard, or 0 */
@@ -69,11 +78,10 @@
 	uint64_t greeted_ns;
 	uint64_t greeted_far_ns;
 	struct gossip gossip;
-	struct turn near_turn;	/**< heartbeats to the own failure domain */
-	struct turn far_turn;	/**< and to the others */
-	uint64_t recent_ns;	/**< when the next two were counted, or 0 */
-	size_t recent_count;	/**< agents heard lately */
-	uint64_t recent_digest; /**< of them */
+	struct turn near_turn; /**< heartbeats to the own failure domain */
+	struct turn far_turn;  /**< and to the others */
+	struct recent_agents recent;
+	bool knows_agents; /**< all that lived when it started */
 	bool leaving;
 };
 
@@ -103,7 +111,7 @@
 /** A stop was asked for: tell the others, take no new callers. */
 void fb_leave(struct fb *fb, uint64_t now);
 /** Whether routers may send callers here. */
-bool fb_ready(const struct fb *fb, uint64_t now);
+bool fb_ready(struct fb *fb, uint64_t now);
 /**
  * Whether this balancer is one of those that watch the configuration for
  * their failure domain.
--- /dev/null
+++ b/src/flow/balancer_errand.c
@@ -0,0 +1,118 @@
+#include "flow/balancer_parts.h"
+
+#include "base/clock.h"
+#include "base/event.h"
+
+static const char *
+outcome_name(enum flow_where where)
+{
+	static const char *const names[] = {
+	    "here", "nobody", "unknown", "wait"};
+
+	return names[where];
+}
+
+static void
+answer(struct fb *fb, uint64_t client, const struct msg_found *item)
+{
+	struct peer *peer = peers_find(&fb->peers, client);
+	struct flow_msg m = {.kind = FLOW_MSG_FOUND};
+
+	if (peer != NULL) {
+		fb_gather(fb, client, FLOW_MSG_FOUND, &peer->answers, item);
+		return;
+	}
+	m.u.find.count = 1;
+	m.u.find.flows[0] = *item;
+	fb_send(fb, client, &m);
+}
+
+static void
+answer_all(struct fb *fb, const struct search *e, enum flow_where where,
+    uint64_t owner)
+{
+	const struct msg_found item = {
+	    .flow = e->flow, .ack = e->ack, .where = where, .owner = owner};
+
+	for (size_t i = 0; i < e->client_count; i++)
+		answer(fb, e->clients[i], &item);
+}
+
+static void
+end(struct fb *fb, struct search *e, enum flow_where where, uint64_t owner,
+    uint64_t now)
+{
+	char caller[ADDR_TEXT_MAX], client[ADDR_TEXT_MAX];
+
+	event("errand_ended", "s:s, s:s, s:s, s:i, s:i, s:s, s:I", "caller",
+	    addr_text(addr_unpack(e->flow.caller), caller), "for",
+	    addr_text(addr_unpack(e->clients[0]), client), "outcome",
+	    outcome_name(where), "asked", (int)e->asked_count, "open",
+	    (int)e->pending, "doubt", fb_doubt_name(fb_doubt(fb, e, now)),
+	    "took_ms", (json_int_t)((now - e->began_ns) / NS_PER_MS));
+	answer_all(fb, e, where, owner);
+	searches_drop(&fb->errands, e);
+}
+
+void
+fb_errand_stands(
+    struct fb *fb, struct search *e, enum search_verdict verdict, uint64_t now)
+{
+	if (verdict == SEARCH_NOBODY) {
+		end(fb, e, FLOW_NOT_HERE, 0, now);
+	} else if (verdict == SEARCH_UNKNOWN) {
+		/* Those who wait cannot learn more from the same agents. */
+		end(fb, e, FLOW_WAIT, 0, now);
+	} else if (!e->said_wait &&
+		   fb_passed(e->began_ns, SEARCH_ERRAND_MS, now)) {
+		e->said_wait = true;
+		answer_all(fb, e, FLOW_WAIT, 0);
+	}
+}
+
+void
+fb_errand_found(
+    struct fb *fb, uint64_t agent, const struct msg_found *found, uint64_t now)
+{
+	struct search *e = searches_find(&fb->errands, &found->flow);
+
+	if (e == NULL)
+		return;
+	if (found->where != FLOW_NOT_HERE) {
+		/* Packets, to be tried at targets, are at the other balancer.
+		 */
+		end(fb, e, found->where, found->where == FLOW_HERE ? agent : 0,
+		    now);
+		return;
+	}
+	search_answer(e, agent, found->where);
+	fb_go_on(fb, e, now);
+}
+
+static void
+take_errand(
+    struct fb *fb, uint64_t client, const struct msg_found *asked, uint64_t now)
+{
+	struct search *e = searches_find(&fb->errands, &asked->flow);
+	const struct flow_packet p = {.flow = asked->flow, .ack = asked->ack};
+	struct msg_found unknown = *asked;
+
+	if (e == NULL) {
+		ctr_inc(fb->ctr, CTR_ERRANDS);
+		e = searches_begin(&fb->errands, &p, now);
+	}
+	if (search_add_client(e, client)) {
+		e->said_wait = false;
+		fb_go_on(fb, e, now);
+		return;
+	}
+	unknown.where = FLOW_UNSURE;
+	answer(fb, client, &unknown);
+}
+
+void
+fb_on_find(struct fb *fb, const struct flow_msg *m, uint64_t now)
+{
+	for (uint32_t i = 0; i < m->u.find.count; i++)
+		take_errand(fb, m->from, &m->u.find.flows[i], now);
+}
--- a/src/flow/balancer_members.c
+++ b/src/flow/balancer_members.c
@@ -32,6 +32,12 @@
 #define SMALL_MILLI 50
 /** It waits for this that another passes the routes on, ms. */
 #define PATIENT_MS 300
+/** Parts of the list of agents that one balancer gets at a time; it gets the
+ * next ones as long as its greetings show that it needs them. */
+#define AGENT_PARTS 4
+/** In its first time a balancer asks others for their agents, ms: those speak
+ * to it themselves, but seldom. */
+#define LEARN_MS 10000
 /** Balancers of one failure domain that watch the configuration. */
 #define WATCHERS 2
 
@@ -42,17 +48,28 @@
 	return count / FLOW_PEERS_MAX + 1;
 }
 
+/* Balancers get it whole: agents, who are more, learn the rest from them. */
 static void
-send_list(struct fb *fb, uint64_t to, struct gossip_told *told, uint64_t now)
+send_list(struct fb *fb, uint64_t to, struct gossip_told *told, bool to_agent,
+    uint64_t now)
 {
 	struct flow_msg m = {.kind = FLOW_MSG_PEERS};
+	enum gossip_share share =
+	    gossip_may_tell(&fb->gossip, told, peers_digest(&fb->peers),
+		parts_of(peers_count(&fb->peers)), to_agent, now);
 	size_t from = 0;
 
-	if (!gossip_may_tell(&fb->gossip, told, peers_digest(&fb->peers),
-		parts_of(peers_count(&fb->peers)), now)) {
+	if (share == GOSSIP_NONE) {
 		ctr_inc(fb->ctr, CTR_CONTROL_CUT);
 		return;
 	}
+	if (share == GOSSIP_SAMPLE) {
+		peers_sample(
+		    &fb->peers, GOSSIP_SAMPLE_MOST, &fb->rng, now, &m.u.peers);
+		fb_send(fb, to, &m);
+		ctr_inc(fb->ctr, CTR_LISTS);
+		return;
+	}
 	do {
 		from = peers_list(&fb->peers, from, now, &m.u.peers);
 		fb_send(fb, to, &m);
@@ -60,32 +77,48 @@
 	} while (from != 0);
 }
 
+/* What the other knows is all that there is. */
+static void
+confirm_list(struct fb *fb, uint64_t to)
+{
+	struct flow_msg m = {.kind = FLOW_MSG_PEERS, .u.peers.same = true};
+
+	fb_send(fb, to, &m);
+}
+
+/* Part of the list of all agents, or of the near ones. */
 static void
-send_agents(struct fb *fb, struct peer *e, uint64_t now)
+send_agents(struct fb *fb, struct peer *e, bool near, uint64_t now)
 {
 	struct flow_msg m = {.kind = FLOW_MSG_PEERS};
-	uint64_t digest;
-	size_t known = fb_recent_agents(fb, &digest, now);
-	size_t from = 0;
+	const struct peer_set *set = near ? &fb->recent.near : &fb->recent.all;
+	size_t parts = parts_of(set->count);
 
-	if (known == 0)
+	if (parts > AGENT_PARTS)
+		parts = AGENT_PARTS;
+	if (set->count == 0)
 		return;
-	if (!gossip_may_tell(
-		&fb->gossip, &e->told_agents, digest, parts_of(known), now)) {
+	if (gossip_may_tell(&fb->gossip, &e->told_agents, set->digest, parts,
+		false, now) != GOSSIP_WHOLE) {
 		ctr_inc(fb->ctr, CTR_CONTROL_CUT);
 		return;
 	}
-	do {
-		from = agents_list(&fb->agents, from, now, &m.u.peers);
+	for (size_t i = 0; i < parts; i++) {
+		e->told_at =
+		    agents_list(&fb->agents, near ? fb->peers.domain_tag : 0,
+			e->told_at, now, &m.u.peers);
 		fb_send(fb, e->id, &m);
 		ctr_inc(fb->ctr, CTR_LISTS);
-	} while (from != 0);
+		if (e->told_at == 0)
+			return;
+	}
 }
 
 static bool
-answers(struct fb *fb)
+answers(struct fb *fb, bool near)
 {
-	return gossip_answers(&fb->rng, peers_count(&fb->peers));
+	return gossip_answers(&fb->rng,
+	    near ? peers_near_count(&fb->peers) : peers_count(&fb->peers));
 }
 
 void
@@ -101,13 +134,13 @@
 	if (v == NULL)
 		return;
 	if (before == NULL || was_lost)
-		fb->recent_ns = 0;
+		fb->recent.at_ns = 0;
 	if (m->u.agent.gone) {
 		event("agent_gone", "s:s", "agent",
 		    addr_text(addr_unpack(m->from), agent));
 		agents_forget(&fb->agents, m->from);
 		mentions_gone(&fb->mentions, m->from, now);
-		fb->recent_ns = 0;
+		fb->recent.at_ns = 0;
 		return;
 	}
 	mentions_heard(&fb->mentions, m->from);
@@ -122,17 +155,57 @@
 		    addr_text(addr_unpack(m->from), agent), "state",
 		    (int)v->said.state, "was", (int)was, "incarnation",
 		    (json_int_t)v->incarnation);
-	/* No digest at all asks for the list. */
-	if (m->u.agent.peers == 0 ||
-	    (m->u.agent.peers != peers_digest(&fb->peers) && answers(fb)))
-		send_list(fb, m->from, &v->told, now);
+	if (!m->u.agent.ask)
+		return;
+	if (m->u.agent.peers == peers_digest(&fb->peers))
+		confirm_list(fb, m->from);
+	else
+		send_list(fb, m->from, &v->told, true, now);
+}
+
+bool
+fb_wants_list(struct fb *fb, uint64_t from, uint64_t now)
+{
+	const struct peer *e = peers_find(&fb->peers, from);
+	const struct delegate_group *g;
+	uint64_t digest;
+
+	if (e == NULL || peers_near(&fb->peers, e) ||
+	    fb_passed(fb->began_ns, LEARN_MS, now) || !fb_near_scope(fb, now))
+		return false;
+	g = delegates_of(fb_delegates(fb, now), e->domain_tag);
+	if (delegates_pick(g, fb->setup.id, 0) != from)
+		return false;
+	agents_recent(&fb->agents, e->domain_tag, now, &digest);
+	return digest != e->near.digest;
+}
+
+/* Where another hears other agents it is told of those that are heard here. */
+static void
+compare_agents(
+    struct fb *fb, struct peer *e, const struct msg_balancer *b, uint64_t now)
+{
+	bool near = peers_near(&fb->peers, e);
+	bool all, some;
+
+	fb_count_agents(fb, now);
+	if (near && e->near.digest == fb->recent.near.digest)
+		peers_told(e, &e->near);
+	if (e->all.digest == fb->recent.all.digest)
+		peers_told(e, &e->all);
+	all = b->whole && e->all.digest != fb->recent.all.digest &&
+	      answers(fb, false);
+	some = b->ask ||
+	       (!b->whole && near && e->near.digest != fb->recent.near.digest &&
+		   answers(fb, true));
+	if (all || some)
+		send_agents(fb, e, !all, now);
 }
 
 void
 fb_on_balancer(struct fb *fb, const struct flow_msg *m, uint64_t now)
 {
 	char peer[ADDR_TEXT_MAX];
-	uint64_t digest;
 	bool is_new = peers_heard(&fb->peers, m->from, &m->u.balancer, now);
 	struct peer *e = peers_find(&fb->peers, m->from);
 
@@ -144,13 +217,23 @@
 		    m->u.balancer.domain);
 		fb_greet(fb, m->from, now);
 	}
-	if (m->u.balancer.peers != peers_digest(&fb->peers) && answers(fb))
-		send_list(fb, m->from, &e->told, now);
-	fb_recent_agents(fb, &digest, now);
-	if (m->u.balancer.agent_set == digest)
-		e->told_us = true;
-	else if (answers(fb))
-		send_agents(fb, e, now);
+	if (m->u.balancer.peers != peers_digest(&fb->peers) &&
+	    answers(fb, false))
+		send_list(fb, m->from, &e->told, false, now);
+	compare_agents(fb, e, &m->u.balancer, now);
+}
+
+static void
+note_mention(struct fb *fb, uint64_t by, const struct msg_peer *p, uint64_t now)
+{
+	char agent[ADDR_TEXT_MAX], balancer[ADDR_TEXT_MAX];
+
+	if (mentions_note(
+		&fb->mentions, p->id, now - p->age_ms * NS_PER_MS, now))
+		event("agent_mentioned", "s:s, s:s, s:i", "agent",
+		    addr_text(addr_unpack(p->id), agent), "by",
+		    addr_text(addr_unpack(by), balancer), "age_ms",
+		    (int)p->age_ms);
 }
 
 /* Agents that another balancer hears are asked to tell this one too. */
@@ -159,6 +242,8 @@
 {
 	const struct msg_peers *list = &m->u.peers;
 	struct peer *from = peers_find(&fb->peers, m->from);
+	/* Whether a flow is there those say who ask them, its delegates. */
+	bool far = list->near && from != NULL && !peers_near(&fb->peers, from);
 
 	for (uint32_t i = 0; i < list->count; i++) {
 		uint64_t age = list->peers[i].age_ms * NS_PER_MS;
@@ -167,12 +252,16 @@
 
 		if ((v != NULL && !agents_silent(v, now)) || age > now)
 			continue;
-		mentions_note(&fb->mentions, list->peers[i].id, now - age, now);
+		if (!far)
+			note_mention(fb, m->from, &list->peers[i], now);
 		fb_greet(fb, list->peers[i].id, now);
 	}
 	/* The last part of a list has room left. */
-	if (from != NULL && list->count < FLOW_PEERS_MAX)
-		from->told_us = true;
+	if (from == NULL || list->count == FLOW_PEERS_MAX)
+		return;
+	peers_told(from, &from->near);
+	if (!list->near)
+		peers_told(from, &from->all);
 }
 
 void
@@ -398,6 +487,7 @@
 	if (fb_passed(fb->ticked_ns, GAP_MS, now))
 		fb_paused(fb, (now - fb->ticked_ns) / NS_PER_MS, now);
 	fb->ticked_ns = now;
+	fb_tick_certain(fb, now);
 	fb_tick_openings(fb, now);
 	fb_tick_searches(fb, now);
 	/* Those that start now too: the sooner they meet, the sooner callers
--- a/src/flow/balancer_parts.h
+++ b/src/flow/balancer_parts.h
@@ -1,8 +1,10 @@
 /**
  * @file balancer_parts.h
  * What the parts of a balancer's decisions call of each other: openings
- * (balancer_open.c), searches (balancer_search.c), members and time
- * (balancer_members.c). For the files of balancer.c alone.
+ * (balancer_open.c), searches (balancer_search.c), errands for other
+ * balancers (balancer_errand.c), whether all agents are known
+ * (balancer_certain.c), members and time (balancer_members.c). For the files of
+ * balancer.c alone.
  */
 #ifndef PW_BALANCER_PARTS_H
 #define PW_BALANCER_PARTS_H
@@ -13,12 +15,43 @@
 bool fb_passed(uint64_t since, uint64_t ms, uint64_t now);
 /** Whether every agent has had time for a heartbeat. */
 bool fb_warm(const struct fb *fb, uint64_t now);
-/** Agents heard lately and the digest of them, at most a tick old. */
-size_t fb_recent_agents(struct fb *fb, uint64_t *digest, uint64_t now);
+/** Bring fb->recent up to date: it is at most a tick old. */
+void fb_count_agents(struct fb *fb, uint64_t now);
+/**
+ * Whether balancers of this failure domain are enough to know all of its
+ * agents, so that those of the others need not be compared.
+ */
+bool fb_near_scope(const struct fb *fb, uint64_t now);
+/**
+ * Whether this balancer hears as many agents as each other that was heard
+ * lately. False when there is no other.
+ */
+bool fb_hears_enough(struct fb *fb, uint64_t now);
+/** Whether a list of the agents near another balancer is wanted from it. */
+bool fb_wants_list(struct fb *fb, uint64_t from, uint64_t now);
 /** Whether a balancer was heard lately, from itself. */
 bool fb_heard_lately(const struct peer *e, uint64_t now);
-/** Whether a flow that no agent claims is gone for certain. */
-bool fb_certain(struct fb *fb, uint64_t now);
+/** What speaks against a flow's being gone that nobody who was asked claims. */
+enum doubt {
+	DOUBT_NONE,
+	DOUBT_PAUSED,	 /**< this process stood still */
+	DOUBT_YOUNG,	 /**< agents may not have spoken to it yet */
+	DOUBT_MENTIONED, /**< others hear an agent that it does not hear */
+	DOUBT_UNTOLD,	 /**< others have not told yet which agents they hear */
+	DOUBT_FAR,	 /**< nobody spoke for another failure domain */
+};
+
+/**
+ * What speaks against it: an agent that restarts or stands still just now,
+ * which a young balancer has never heard and others wait for, may hold it.
+ */
+enum doubt fb_doubt(struct fb *fb, const struct search *e, uint64_t now);
+/** Its name in the log; empty for none. */
+const char *fb_doubt_name(enum doubt d);
+/** Time passed: all agents may be known. */
+void fb_tick_certain(struct fb *fb, uint64_t now);
+/** Those who answer for their failure domains, gathered anew each tick. */
+const struct delegates *fb_delegates(struct fb *fb, uint64_t now);
 /** Pass a packet to an agent. */
 void fb_forward(
     struct fb *fb, const struct agent_view *v, struct str bytes, bool probe);
@@ -40,7 +73,20 @@
 void fb_seek(struct fb *fb, const struct flow_packet *p, uint64_t now);
 /** Nobody looks for a flow any more. */
 void fb_end_search(struct fb *fb, const struct flow_key *flow);
-/** Agents answered questions. */
+/** Put a question or an answer among those that go to one process. */
+void fb_gather(struct fb *fb, uint64_t to, enum flow_msg_kind kind,
+    struct msg_find *list, const struct msg_found *item);
+/** Go on with a search or an errand; it may end. */
+void fb_go_on(struct fb *fb, struct search *e, uint64_t now);
+/** Another balancer asks about the agents of this failure domain. */
+void fb_on_find(struct fb *fb, const struct flow_msg *m, uint64_t now);
+/** How an errand stands: those who wait for it are told, and it may end. */
+void fb_errand_stands(
+    struct fb *fb, struct search *e, enum search_verdict verdict, uint64_t now);
+/** An agent answered a question that may be of an errand. */
+void fb_errand_found(
+    struct fb *fb, uint64_t agent, const struct msg_found *found, uint64_t now);
+/** Agents or delegates answered questions. */
 void fb_on_found(struct fb *fb, const struct flow_msg *m, uint64_t now);
 /** An agent returned a packet: the flow is not there. */
 void fb_on_away(struct fb *fb, const struct flow_msg *m, uint64_t now);
--- a/src/flow/balancer_search.c
+++ b/src/flow/balancer_search.c
@@ -11,45 +11,67 @@
 #define ASK_PER_MILLI 64
 /** A packet that an agent tries at its target costs as much as so many more. */
 #define PROBE_QUESTIONS INT64_C(3)
+/** A delegate that said nothing is not asked for this, ms. */
+#define AVOID_MS 2000
+/** Where a failure domain had no delegate one is looked for after this, ms. */
+#define DELEGATES_AGAIN_MS 200
 /** Questions are saved up for this, ms. */
 #define ASK_SAVED_MS 1000
 
 static void
-send_questions(struct fb *fb, struct agent_view *v)
+send_gathered(
+    struct fb *fb, uint64_t to, enum flow_msg_kind kind, struct msg_find *list)
 {
-	struct flow_msg m = {.kind = FLOW_MSG_FIND, .u.find = v->questions};
+	struct flow_msg m = {.kind = kind, .u.find = *list};
 
-	v->questions.count = 0;
-	fb_send(fb, v->id, &m);
+	if (list->count == 0)
+		return;
+	list->count = 0;
+	fb_send(fb, to, &m);
 }
 
 void
 fb_flush(struct fb *fb)
 {
 	struct agent_view *v, *next;
+	struct peer *e, *next_peer;
 
-	if (!fb->questions)
+	if (!fb->gathered)
 		return;
-	fb->questions = false;
+	fb->gathered = false;
 	HASH_ITER(hh, fb->agents.table, v, next)
 	{
-		if (v->questions.count > 0)
-			send_questions(fb, v);
+		send_gathered(fb, v->id, FLOW_MSG_FIND, &v->questions);
+	}
+	HASH_ITER(hh, fb->peers.table, e, next_peer)
+	{
+		send_gathered(fb, e->id, FLOW_MSG_FIND, &e->questions);
+		send_gathered(fb, e->id, FLOW_MSG_FOUND, &e->answers);
 	}
 }
 
-static void
-gather(struct fb *fb, const struct search *e, uint64_t agent)
+void
+fb_gather(struct fb *fb, uint64_t to, enum flow_msg_kind kind,
+    struct msg_find *list, const struct msg_found *item)
 {
-	struct agent_view *v = agents_find(&fb->agents, agent);
+	list->flows[list->count++] = *item;
+	fb->gathered = true;
+	if (list->count == FLOW_FIND_MAX)
+		send_gathered(fb, to, kind, list);
+}
 
-	if (v == NULL)
-		return;
-	v->questions.flows[v->questions.count++] =
-	    (struct msg_found){.flow = e->flow, .ack = e->ack};
-	fb->questions = true;
-	if (v->questions.count == FLOW_FIND_MAX)
-		send_questions(fb, v);
+/* Ask an agent, or a delegate. */
+static void
+ask(struct fb *fb, const struct search *e, uint64_t whom)
+{
+	const struct msg_found item = {.flow = e->flow, .ack = e->ack};
+	struct agent_view *v = agents_find(&fb->agents, whom);
+	struct peer *peer = v == NULL ? peers_find(&fb->peers, whom) : NULL;
+
+	if (v != NULL)
+		fb_gather(fb, whom, FLOW_MSG_FIND, &v->questions, &item);
+	else if (peer != NULL)
+		fb_gather(fb, whom, FLOW_MSG_FIND, &peer->questions, &item);
 }
 
 /*
@@ -74,12 +96,24 @@
 		fb->ask_credit_milli = most;
 }
 
+const struct delegates *
+fb_delegates(struct fb *fb, uint64_t now)
+{
+	struct delegates *d = &fb->delegates;
+
+	if (d->at_ns == 0 || fb_passed(d->at_ns, FB_TICK_MS, now))
+		delegates_gather(d, &fb->peers, fb->setup.capacity, now);
+	return d;
+}
+
 static void
 ask_next(struct fb *fb, struct search *e, uint64_t now)
 {
 	const struct search_field field = {.agents = &fb->agents,
 	    .route = routes_find(&fb->routes, e->flow.service),
-	    .domain = fb->setup.domain};
+	    .delegates = fb_delegates(fb, now),
+	    .domain = fb->setup.domain,
+	    .domain_tag = fb->peers.domain_tag};
 	size_t first;
 
 	search_next(e, &field, now, &first);
@@ -88,7 +122,7 @@
 		fb->ask_credit_milli -=
 		    (int64_t)(e->asked_count - first) * 1000;
 	for (size_t i = first; i < e->asked_count; i++)
-		gather(fb, e, e->asked[i].agent);
+		ask(fb, e, e->asked[i].agent);
 }
 
 static void
@@ -99,7 +133,7 @@
 			continue;
 		ctr_inc(fb->ctr, CTR_SEARCH_ASKED);
 		fb->ask_credit_milli -= 1000;
-		gather(fb, e, e->asked[i].agent);
+		ask(fb, e, e->asked[i].agent);
 	}
 }
 
@@ -112,31 +146,59 @@
 
 	if (open != 0)
 		addr_text(addr_unpack(open), agent);
-	event("search_ended", "s:s, s:s, s:i, s:i, s:s, s:b, s:b, s:I",
+	event("search_ended", "s:s, s:s, s:i, s:i, s:s, s:b, s:s, s:I",
 	    "caller", addr_text(addr_unpack(e->flow.caller), caller), "outcome",
 	    verdict == SEARCH_NOBODY ? "nobody" : "unknown", "asked",
 	    (int)e->asked_count, "open", (int)e->pending, "waits_for", agent,
-	    "complete", (int)e->complete, "certain", (int)fb_certain(fb, now),
-	    "took_ms", (json_int_t)((now - e->began_ns) / NS_PER_MS));
+	    "complete", (int)e->complete, "doubt",
+	    fb_doubt_name(fb_doubt(fb, e, now)), "took_ms",
+	    (json_int_t)((now - e->began_ns) / NS_PER_MS));
+}
+
+static void
+pass_over_delegates(struct fb *fb, struct search *e, uint64_t now)
+{
+	char delegate[ADDR_TEXT_MAX];
+	uint64_t id;
+
+	while ((id = search_mute_delegate(e, now, fb->lag_ms)) != 0) {
+		struct peer *peer = peers_find(&fb->peers, id);
+
+		ctr_inc(fb->ctr, CTR_DELEGATES_MUTE);
+		event("delegate_mute", "s:s", "balancer",
+		    addr_text(addr_unpack(id), delegate));
+		if (peer != NULL)
+			peer->avoid_until_ns = now + AVOID_MS * NS_PER_MS;
+	}
 }
 
 /*
  * Go on with a search, or end it when its outcome is known; packets still
  * held are dropped then.
  */
-static void
-go_on(struct fb *fb, struct search *e, uint64_t now)
+void
+fb_go_on(struct fb *fb, struct search *e, uint64_t now)
 {
 	enum search_verdict verdict;
+	enum doubt doubt;
 
+	pass_over_delegates(fb, e, now);
 	while (search_due(e, &fb->agents, now, fb->lag_ms) && may_ask(fb, e))
 		ask_next(fb, e, now);
 	if (may_ask(fb, e) && search_again(e, now, fb->lag_ms))
 		ask_again(fb, e);
 	verdict = search_verdict(e, &fb->agents, now, fb->lag_ms);
-	if (verdict == SEARCH_NOBODY && !fb_certain(fb, now))
+	doubt = verdict == SEARCH_NOBODY ? fb_doubt(fb, e, now) : DOUBT_NONE;
+	if (doubt == DOUBT_FAR &&
+	    fb_passed(e->asked_ns, DELEGATES_AGAIN_MS, now))
+		search_to_delegates(e);
+	if (doubt != DOUBT_NONE)
 		verdict = search_expired(e, now, fb->lag_ms) ? SEARCH_UNKNOWN
 							     : SEARCH_OPEN;
+	if (search_is_errand(e)) {
+		fb_errand_stands(fb, e, verdict, now);
+		return;
+	}
 	if (verdict == SEARCH_OPEN)
 		return;
 	tell_ended(fb, e, verdict, now);
@@ -185,7 +247,7 @@
 		e = searches_begin(&fb->searches, p, now);
 		ctr_inc(fb->ctr, CTR_SEARCHES);
 		search_hold(e, p);
-		go_on(fb, e, now);
+		fb_go_on(fb, e, now);
 		return;
 	}
 	if (!search_hold(e, p))
@@ -202,38 +264,75 @@
 		searches_drop(&fb->searches, e);
 }
 
+static void
+found_at(
+    struct fb *fb, struct search *e, const struct agent_view *v, uint64_t now)
+{
+	char caller[ADDR_TEXT_MAX], agent[ADDR_TEXT_MAX];
+
+	latency_note(&fb->search, now - e->began_ns);
+	event("search_found", "s:s, s:s, s:i, s:i, s:I", "caller",
+	    addr_text(addr_unpack(e->flow.caller), caller), "agent",
+	    addr_text(addr_unpack(v->id), agent), "asked", (int)e->asked_count,
+	    "held", (int)e->held_count, "took_ms",
+	    (json_int_t)((now - e->began_ns) / NS_PER_MS));
+	for (size_t i = 0; i < e->held_count; i++)
+		fb_forward(fb, v,
+		    (struct str){e->held[i]->bytes, e->held[i]->len}, false);
+	searches_drop(&fb->searches, e);
+}
+
+static void
+learn_hint(struct fb *fb, const struct flow_key *flow, uint64_t agent)
+{
+	hint_set(fb->hints, flow, agent);
+	ctr_inc(fb->ctr, CTR_HINTS);
+}
+
 static void
 on_found(struct fb *fb, struct agent_view *v, const struct msg_found *found,
     uint64_t now)
 {
 	struct search *e = searches_find(&fb->searches, &found->flow);
-	char caller[ADDR_TEXT_MAX], agent[ADDR_TEXT_MAX];
 
-	if (found->where == FLOW_HERE) {
-		hint_set(fb->hints, &found->flow, v->id);
-		ctr_inc(fb->ctr, CTR_HINTS);
-	}
+	if (found->where == FLOW_HERE)
+		learn_hint(fb, &found->flow, v->id);
 	if (e == NULL)
 		return;
 	if (found->where == FLOW_HERE) {
-		latency_note(&fb->search, now - e->began_ns);
-		event("search_found", "s:s, s:s, s:i, s:i, s:I", "caller",
-		    addr_text(addr_unpack(found->flow.caller), caller), "agent",
-		    addr_text(addr_unpack(v->id), agent), "asked",
-		    (int)e->asked_count, "held", (int)e->held_count, "took_ms",
-		    (json_int_t)((now - e->began_ns) / NS_PER_MS));
-		for (size_t i = 0; i < e->held_count; i++)
-			fb_forward(fb, v,
-			    (struct str){e->held[i]->bytes, e->held[i]->len},
-			    false);
-		searches_drop(&fb->searches, e);
+		found_at(fb, e, v, now);
 		return;
 	}
 	search_answer(e, v->id, found->where);
 	if (found->where == FLOW_UNSURE && e->held_count > 0)
 		send_probe(
 		    fb, e, v, (struct str){e->held[0]->bytes, e->held[0]->len});
-	go_on(fb, e, now);
+	fb_go_on(fb, e, now);
+}
+
+static void
+on_delegate_found(struct fb *fb, uint64_t delegate,
+    const struct msg_found *found, uint64_t now)
+{
+	struct search *e = searches_find(&fb->searches, &found->flow);
+	const struct agent_view *v = agents_find(&fb->agents, found->owner);
+
+	if (e == NULL)
+		return;
+	if (found->where != FLOW_HERE) {
+		search_delegate_says(e, delegate, found->where);
+		fb_go_on(fb, e, now);
+		return;
+	}
+	if (v != NULL && !agents_silent(v, now)) {
+		learn_hint(fb, &found->flow, v->id);
+		found_at(fb, e, v, now);
+		return;
+	}
+	/* The agent is met first; the delegate is asked again then. */
+	search_delegate_says(e, delegate, FLOW_WAIT);
+	if (found->owner != 0)
+		fb_greet(fb, found->owner, now);
 }
 
 void
@@ -241,10 +340,16 @@
 {
 	struct agent_view *v = agents_find(&fb->agents, m->from);
 
-	if (v == NULL)
-		return;
-	for (uint32_t i = 0; i < m->u.find.count; i++)
-		on_found(fb, v, &m->u.find.flows[i], now);
+	for (uint32_t i = 0; i < m->u.find.count; i++) {
+		const struct msg_found *found = &m->u.find.flows[i];
+
+		if (v == NULL) {
+			on_delegate_found(fb, m->from, found, now);
+			continue;
+		}
+		fb_errand_found(fb, v->id, found, now);
+		on_found(fb, v, found, now);
+	}
 }
 
 void
@@ -267,6 +372,10 @@
 
 	HASH_ITER(hh, fb->searches.table, e, next)
 	{
-		go_on(fb, e, now);
+		fb_go_on(fb, e, now);
+	}
+	HASH_ITER(hh, fb->errands.table, e, next)
+	{
+		fb_go_on(fb, e, now);
 	}
 }
--- a/src/flow/gossip.h
+++ b/src/flow/gossip.h
@@ -29,13 +29,25 @@
 void gossip_init(struct gossip *g);
 /** Time passed. */
 void gossip_earn(struct gossip *g, uint64_t passed_ns);
+/** How much of a list may be told. */
+enum gossip_share {
+	GOSSIP_NONE,
+	GOSSIP_SAMPLE, /**< GOSSIP_SAMPLE_MOST entries of it */
+	GOSSIP_WHOLE
+};
+
+/** Entries of a sample: each leads on to a process with a budget of its own. */
+#define GOSSIP_SAMPLE_MOST 8
+
 /**
- * Whether a list may go to a process whose table differs; it counts as told.
+ * How much of a list may go to a process whose table differs; it counts as
+ * told.
  * @param digest of the list
  * @param parts messages that it takes
+ * @param may_sample whether a sample is of use to the other
  */
-bool gossip_may_tell(struct gossip *g, struct gossip_told *told,
-    uint64_t digest, size_t parts, uint64_t now);
+enum gossip_share gossip_may_tell(struct gossip *g, struct gossip_told *told,
+    uint64_t digest, size_t parts, bool may_sample, uint64_t now);
 
 /**
  * Whether this process is one of those that answer where a table differs: all
--- a/src/flow/mentions.c
+++ b/src/flow/mentions.c
@@ -45,20 +45,23 @@
 	return e;
 }
 
-void
+bool
 mentions_note(struct mentions *m, uint64_t id, uint64_t heard_ns, uint64_t now)
 {
 	uint64_t until = heard_ns + AGENT_RETURN_MS * NS_PER_MS;
-	struct mention *e;
+	struct mention *e = find(m, id);
+	bool is_new = e == NULL || e->until_ns <= now;
 
 	if (until <= now)
-		return;
-	e = find_or_add(m, id);
+		return false;
+	if (e == NULL)
+		e = find_or_add(m, id);
 	if (e->gone && e->until_ns > now)
-		return;
+		return false;
 	e->gone = false;
 	if (until > e->until_ns)
 		e->until_ns = until;
+	return is_new;
 }
 
 void
--- a/src/flow/mentions.h
+++ b/src/flow/mentions.h
@@ -25,8 +25,8 @@
 
 /** Free what the table holds. */
 void mentions_clear(struct mentions *m);
-/** Another balancer heard an agent at a time. */
-void mentions_note(
+/** Another balancer heard an agent at a time. @return whether it is new */
+bool mentions_note(
     struct mentions *m, uint64_t id, uint64_t heard_ns, uint64_t now);
 /** This balancer hears it itself. */
 void mentions_heard(struct mentions *m, uint64_t id);
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -18,7 +18,8 @@
 	FLOW_MSG_AGENT = 1, /**< an agent's heartbeat with its load */
 	FLOW_MSG_BALANCER,  /**< a balancer's heartbeat */
 	FLOW_MSG_PEERS,	    /**< balancers that the sender knows */
-	FLOW_MSG_FIND,	    /**< does your target hold these flows? */
+	FLOW_MSG_FIND,	    /**< does your target hold these flows? To a
+			       balancer: do those of its failure domain? */
 	FLOW_MSG_FOUND,	    /**< the answer, also when nobody asked */
 	FLOW_MSG_ACCEPTED,  /**< the target took an opening packet */
 	FLOW_MSG_REFUSED,   /**< it did not, nor will it */
@@ -49,17 +50,23 @@
 	uint32_t failing;    /**< part of its answers that fail, times 1000 */
 	uint32_t period_ms;  /**< until the next heartbeat */
 	uint64_t peers;	     /**< digest of the balancers it knows */
+	bool ask;	     /**< a list of balancers is wanted */
 	bool gone;	     /**< it ends, and its target has ended */
 };
 
 /** A balancer's heartbeat. */
 struct msg_balancer {
 	char domain[FLOW_NAME_MAX];
-	uint64_t version;   /**< configuration in force there */
-	uint64_t peers;	    /**< digest of the balancers it knows */
-	uint32_t agents;    /**< agents that it has heard lately */
-	uint64_t agent_set; /**< digest of them */
-	uint32_t capacity;  /**< thousandths of a core that it may use */
+	uint64_t version;     /**< configuration in force there */
+	uint64_t peers;	      /**< digest of the balancers it knows */
+	uint32_t agents;      /**< agents that it has heard lately */
+	uint64_t agent_set;   /**< digest of them */
+	uint32_t near_agents; /**< those of its own failure domain */
+	uint64_t near_set;    /**< digest of these */
+	bool whole;   /**< it compares all agents, not just its near ones */
+	bool ask;     /**< a list of the receiver's near agents is wanted */
+	bool settled; /**< it knows all agents that it compares */
+	uint32_t capacity; /**< thousandths of a core that it may use */
 	bool leaving;
 };
 
@@ -73,6 +80,10 @@
 /** A list of balancers, or of agents. */
 struct msg_peers {
 	bool agents; /**< of agents that the sender has heard lately */
+	bool near;   /**< only of those in the sender's failure domain */
+	bool same;   /**< all that the receiver knows, and no others: none
+			is listed */
+	bool sample; /**< only some: the sender's budget has run short */
 	uint32_t count;
 	struct msg_peer peers[FLOW_PEERS_MAX];
 };
@@ -81,7 +92,9 @@
 enum flow_where {
 	FLOW_HERE,
 	FLOW_NOT_HERE,
-	FLOW_UNSURE, /**< the agent is younger than its target */
+	FLOW_UNSURE, /**< the agent is younger than its target; a delegate:
+			it cannot tell, ask the agents */
+	FLOW_WAIT,   /**< a delegate: it has not heard from all yet */
 };
 
 /** Why an opening packet was refused. */
@@ -100,6 +113,7 @@
 	struct flow_key flow;
 	uint32_t ack;	       /**< FIND: tells two openings apart */
 	enum flow_where where; /**< FOUND */
+	uint64_t owner;	       /**< FOUND of a delegate: agent that holds it */
 };
 
 /** Flows that are looked for, or the answer about them. */
--- a/src/flow/peers.c
+++ b/src/flow/peers.c
@@ -76,13 +76,34 @@
 	e->direct_ns = now;
 	e->version = b->version;
 	e->leaving = b->leaving;
-	e->agents = b->agents;
-	e->agent_set = b->agent_set;
+	e->settled = b->settled;
+	e->all.count = b->agents;
+	e->all.digest = b->agent_set;
+	e->near.count = b->near_agents;
+	e->near.digest = b->near_set;
 	e->capacity = b->capacity;
 	str_copy(e->domain, sizeof(e->domain), str_of(b->domain));
 	return is_new;
 }
 
+void
+peers_confirm(struct peers *p, uint64_t now)
+{
+	struct peer *e, *next;
+
+	HASH_ITER(hh, p->table, e, next)
+	{
+		e->heard_ns = now;
+	}
+}
+
+void
+peers_told(const struct peer *e, struct peer_set *set)
+{
+	set->told = set->count;
+	set->sure |= e->settled;
+}
+
 uint64_t
 peers_forget_ms(const struct peers *p)
 {
@@ -140,6 +161,30 @@
 	return 0;
 }
 
+void
+peers_sample(const struct peers *p, size_t most, struct rng *rng, uint64_t now,
+    struct msg_peers *out)
+{
+	size_t count = HASH_COUNT(p->table);
+	size_t first, at = 0;
+	struct peer *e, *next;
+
+	*out = (struct msg_peers){.sample = true};
+	if (p->self != 0)
+		list_one(out, p->self, 0, p->domain_tag);
+	if (count == 0)
+		return;
+	first = (size_t)rng_below(rng, count);
+	HASH_ITER(hh, p->table, e, next)
+	{
+		if ((at++ + count - first) % count < most &&
+		    out->count < FLOW_PEERS_MAX)
+			list_one(out, e->id,
+			    now > e->heard_ns ? now - e->heard_ns : 0,
+			    e->domain_tag);
+	}
+}
+
 size_t
 peers_count(const struct peers *p)
 {
--- a/src/flow/peers.h
+++ b/src/flow/peers.h
@@ -16,6 +16,14 @@
 #define PEER_FORGET_MS 20000
 #define PEER_FORGET_EACH_MS 250
 
+/** Agents that a balancer has heard lately. */
+struct peer_set {
+	uint32_t count;
+	uint64_t digest;
+	uint32_t told; /**< of so many it has told this process; 0 for never */
+	bool sure;     /**< it knew them all then */
+};
+
 /** A balancer. */
 struct peer {
 	uint64_t id;	    /**< addr_pack() of its control address */
@@ -23,14 +31,18 @@
 	uint64_t direct_ns; /**< from it, 0 for never */
 	uint64_t version;   /**< configuration in force there */
 	char domain[FLOW_NAME_MAX];
-	uint32_t agents;     /**< that it has heard lately */
-	uint64_t agent_set;  /**< digest of them */
-	uint32_t capacity;   /**< thousandths of a core */
-	uint32_t domain_tag; /**< of its failure domain, 0 if not known */
+	struct peer_set all;  /**< agents that it has heard lately */
+	struct peer_set near; /**< those of its failure domain */
+	uint32_t capacity;    /**< thousandths of a core */
+	uint32_t domain_tag;  /**< of its failure domain, 0 if not known */
 	bool leaving;
-	bool told_us;			/**< once, which agents it hears */
-	struct gossip_told told;	/**< list of balancers that it got */
+	bool settled;		   /**< it knows all agents that it compares */
+	uint64_t avoid_until_ns;   /**< did not answer as a delegate */
+	struct msg_find questions; /**< to be sent together */
+	struct msg_find answers;   /**< the same */
+	struct gossip_told told;   /**< list of balancers that it got */
 	struct gossip_told told_agents; /**< list of agents that it got */
+	size_t told_at;			/**< where its next part begins */
 	UT_hash_handle hh;
 };
 
@@ -56,6 +68,13 @@
 /** Take in a balancer's own heartbeat. @return whether it is new */
 bool peers_heard(
     struct peers *p, uint64_t id, const struct msg_balancer *b, uint64_t now);
+/** Another knows the same balancers, and has heard of all of them. */
+void peers_confirm(struct peers *p, uint64_t now);
+/** Write some of them, from a random place on. */
+void peers_sample(const struct peers *p, size_t most, struct rng *rng,
+    uint64_t now, struct msg_peers *out);
+/** A balancer has told which agents it hears. */
+void peers_told(const struct peer *e, struct peer_set *set);
 /** How long a balancer is known without being heard of, ms. */
 uint64_t peers_forget_ms(const struct peers *p);
 /** Forget those not heard of for peers_forget_ms(). */
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -63,6 +63,26 @@
 	}
 }
 
+bool
+search_covers(const struct search *e, uint32_t domain)
+{
+	for (size_t i = 0; i < e->asked_count; i++) {
+		if (e->asked[i].domain == domain && domain != 0 &&
+		    !e->asked[i].failed)
+			return true;
+	}
+	return false;
+}
+
+static struct search_asked *
+add_asked(struct search *e, uint64_t agent)
+{
+	e->asked = mem_grow(e->asked, e->asked_count + 1, sizeof(*e->asked));
+	e->asked[e->asked_count] = (struct search_asked){.agent = agent};
+	e->pending++;
+	return &e->asked[e->asked_count++];
+}
+
 static void
 add(struct search *e, struct agent_view *v, uint64_t mark, uint64_t now)
 {
@@ -72,9 +92,7 @@
 		e->complete &= !agents_awaited(v, now);
 		return;
 	}
-	e->asked = mem_grow(e->asked, e->asked_count + 1, sizeof(*e->asked));
-	e->asked[e->asked_count++] = (struct search_asked){.agent = v->id};
-	e->pending++;
+	add_asked(e, v->id);
 	v->mark = mark;
 }
 
@@ -93,7 +111,7 @@
 	struct tier *t = ctx;
 	bool own = strcmp(v->said.domain, t->domain) == 0;
 
-	if (own == t->near)
+	if (own == t->near && (own || !search_covers(t->e, v->domain_tag)))
 		add(t->e, v, t->mark, t->now);
 }
 
@@ -124,17 +142,65 @@
 	}
 }
 
+static size_t
+tried_in_vain(const struct search *e, uint32_t domain)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < e->asked_count; i++) {
+		if (e->asked[i].domain == domain)
+			count += e->asked[i].unsure ? DELEGATE_TRIES : 1;
+	}
+	return count;
+}
+
+static void
+add_delegate(struct tier *t, uint64_t id, uint32_t domain)
+{
+	struct search_asked *a = add_asked(t->e, id);
+
+	a->domain = domain;
+	a->asked_ns = t->now;
+	t->e->delegated++;
+}
+
+static void
+add_delegates(struct tier *t, const struct search_field *field)
+{
+	for (size_t i = 0; i < field->delegates->count; i++) {
+		const struct delegate_group *g = &field->delegates->groups[i];
+		uint64_t id;
+
+		if (search_covers(t->e, g->domain))
+			continue;
+		id = delegates_pick(
+		    g, flow_hash(&t->e->flow), tried_in_vain(t->e, g->domain));
+		if (id == 0) {
+			t->e->alone |= g->domain != field->domain_tag;
+			continue;
+		}
+		add_delegate(t, id, g->domain);
+	}
+}
+
 /*
  * The agents of every service are asked in the end: a change of shares leaves
- * flows at services that their address no longer leads to.
+ * flows at services that their address no longer leads to. An errand asks
+ * those of the own failure domain.
  */
 static void
 add_all(struct tier *t, const struct search_field *field)
 {
+	bool errand = search_is_errand(t->e);
 	struct agent_view *v, *next;
 
 	HASH_ITER(hh, field->agents->table, v, next)
 	{
+		bool own = v->domain_tag == field->domain_tag;
+
+		if (errand ? !own : search_covers(t->e, v->domain_tag))
+			continue;
+		t->e->alone |= !own;
 		add(t->e, v, t->mark, t->now);
 	}
 }
@@ -153,7 +219,15 @@
 	*first = e->asked_count;
 	e->complete = true;
 	mark_asked(e, field->agents, t.mark);
-	if (e->tier < SEARCH_ALL) {
+	if (search_is_errand(e) && e->tier != SEARCH_NEAR)
+		e->tier = SEARCH_ALL;
+	if (e->tier == SEARCH_DELEGATES) {
+		add_delegates(&t, field);
+		e->tier++;
+	}
+	if (e->asked_count > *first) {
+		/* The delegates answer first. */
+	} else if (e->tier < SEARCH_ALL) {
 		add_candidates(&t, field);
 		e->tier++;
 	} else {
@@ -170,7 +244,9 @@
 static uint64_t
 wait_ns(const struct search *e, uint64_t ms, uint64_t lag_ms)
 {
-	uint64_t most = e->trying == e->pending ? SEARCH_TRY_MS : ms;
+	bool tried = e->trying + e->delegated == e->pending &&
+		     (e->trying > 0 || e->delegated == 0);
+	uint64_t most = tried ? SEARCH_TRY_MS : ms;
 
 	return (most + SEARCH_LAG_TIMES * lag_ms) * NS_PER_MS;
 }
@@ -198,6 +274,89 @@
 	return true;
 }
 
+static void
+delegate_answered(struct search *e, struct search_asked *a)
+{
+	a->answered = true;
+	e->pending--;
+	e->delegated--;
+}
+
+/* Its failure domain is open again, and due at once. */
+static void
+fail_delegate(struct search *e, struct search_asked *a, enum search_tier next)
+{
+	delegate_answered(e, a);
+	a->failed = true;
+	if (e->tier > next)
+		e->tier = next;
+	e->asked_ns = 0;
+}
+
+uint64_t
+search_mute_delegate(struct search *e, uint64_t now, uint64_t lag_ms)
+{
+	uint64_t ms = SEARCH_DELEGATE_MS + SEARCH_LAG_TIMES * lag_ms;
+
+	for (size_t i = 0; i < e->asked_count; i++) {
+		struct search_asked *a = &e->asked[i];
+
+		if (a->domain == 0 || a->answered || a->waits ||
+		    now < a->asked_ns + ms * NS_PER_MS)
+			continue;
+		fail_delegate(e, a, SEARCH_DELEGATES);
+		return a->agent;
+	}
+	return 0;
+}
+
+void
+search_delegate_says(struct search *e, uint64_t delegate, enum flow_where where)
+{
+	for (size_t i = 0; i < e->asked_count; i++) {
+		struct search_asked *a = &e->asked[i];
+
+		if (a->agent != delegate || a->answered)
+			continue;
+		if (where == FLOW_WAIT) {
+			a->waits = true;
+		} else if (where == FLOW_NOT_HERE) {
+			delegate_answered(e, a);
+		} else {
+			a->unsure = true;
+			fail_delegate(e, a, SEARCH_FAR);
+		}
+		return;
+	}
+}
+
+void
+search_to_delegates(struct search *e)
+{
+	e->alone = false;
+	e->tier = SEARCH_DELEGATES;
+	e->asked_ns = 0;
+}
+
+bool
+search_is_errand(const struct search *e)
+{
+	return e->client_count > 0;
+}
+
+bool
+search_add_client(struct search *e, uint64_t client)
+{
+	for (size_t i = 0; i < e->client_count; i++) {
+		if (e->clients[i] == client)
+			return true;
+	}
+	if (e->client_count == SEARCH_CLIENTS_MAX)
+		return false;
+	e->clients[e->client_count++] = client;
+	return true;
+}
+
 bool
 search_hold(struct search *e, const struct flow_packet *p)
 {
@@ -249,7 +408,9 @@
 search_verdict(const struct search *e, const struct agents *agents,
     uint64_t now, uint64_t lag_ms)
 {
-	if (e->tier == SEARCH_TIERS && e->asked_count > 0 && e->pending == 0 &&
+	bool asked = e->asked_count > 0 || search_is_errand(e);
+
+	if (e->tier == SEARCH_TIERS && asked && e->pending == 0 &&
 	    e->complete && e->changes == agents->changes)
 		return SEARCH_NOBODY;
 	return search_expired(e, now, lag_ms) ? SEARCH_UNKNOWN : SEARCH_OPEN;
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -3,11 +3,14 @@
  * Finding the agent that holds a flow. The packets that came meanwhile are
  * held, and one small question goes to the agents, not the packets: first to
  * those of the own failure domain among which the flow was placed, then to
- * those of the others, then to all.
+ * those of the others, then to all. Where a failure domain has a delegate it
+ * is asked instead of that failure domain's agents, and asks them itself: an
+ * errand is such a search on behalf of another balancer.
  */
 #ifndef PW_SEARCH_H
 #define PW_SEARCH_H
 
+#include "flow/delegates.h"
 #include "flow/place.h"
 #include "flow/routes.h"
 
@@ -35,11 +38,21 @@
  * flow lives there more likely than not. */
 #define SEARCH_TRY_LIFE_MS 400
 
+/** A delegate that says nothing for this is passed over, ms: it asks its
+ * agents and has to wait for a small one's wake-up. */
+#define SEARCH_DELEGATE_MS 120
+/** A delegate says so when it has no answer after this, ms. */
+#define SEARCH_ERRAND_MS 60
+/** Balancers that wait for one errand; more are told that it is not known. */
+#define SEARCH_CLIENTS_MAX 4
+
 /** Whom a search asks, in this order. */
 enum search_tier {
-	SEARCH_NEAR, /**< candidates of the own failure domain */
-	SEARCH_FAR,  /**< candidates of the others */
-	SEARCH_ALL,  /**< all that were not asked yet, of any service */
+	SEARCH_NEAR,	  /**< candidates of the own failure domain */
+	SEARCH_DELEGATES, /**< those of the other failure domains */
+	SEARCH_FAR,	  /**< candidates where there is no delegate */
+	SEARCH_ALL, /**< all that have no delegate and were not asked yet, of
+		       any service */
 	SEARCH_TIERS
 };
 
@@ -56,11 +69,16 @@
 	char bytes[];
 };
 
-/** An agent that was asked. */
+/** An agent or a delegate that was asked. */
 struct search_asked {
 	uint64_t agent;
+	uint32_t domain;   /**< a delegate's failure domain; 0 for an agent */
+	uint64_t asked_ns; /**< a delegate: first question */
 	bool answered;
-	bool unsure; /**< it tries the packet at its target */
+	bool unsure; /**< it tries the packet at its target; a delegate: its
+			agents have to */
+	bool failed; /**< a delegate that does not know */
+	bool waits;  /**< a delegate that is still about it */
 };
 
 /** A search. */
@@ -75,12 +93,17 @@
 	unsigned tier;		    /**< next to be asked */
 	struct search_asked *asked; /**< all so far */
 	size_t asked_count;
-	size_t pending; /**< of them without a denial */
-	size_t trying;	/**< of those, they try the packet */
-	size_t doubts;	/**< agents that ever were unsure */
-	bool complete;	/**< none is missing that may come back */
+	size_t pending;	  /**< of them without a denial */
+	size_t trying;	  /**< of those, they try the packet */
+	size_t delegated; /**< of those, delegates */
+	size_t doubts;	  /**< agents that ever were unsure */
+	bool complete;	  /**< none is missing that may come back */
+	bool alone; /**< agents of other failure domains had no delegate */
 	struct held_packet *held[SEARCH_HELD_MAX];
 	size_t held_count;
+	uint64_t clients[SEARCH_CLIENTS_MAX]; /**< an errand for these */
+	size_t client_count;
+	bool said_wait; /**< they know that it goes on */
 	UT_hash_handle hh;
 };
 
@@ -102,7 +125,9 @@
 struct search_field {
 	const struct agents *agents;
 	const struct flow_route *route; /**< of the flow, may be NULL */
-	const char *domain;		/**< own failure domain */
+	const struct delegates *delegates;
+	const char *domain; /**< own failure domain */
+	uint32_t domain_tag;
 };
 
 /**
@@ -120,6 +145,23 @@
     uint64_t now, uint64_t lag_ms);
 /** Whether those that did not answer are to be asked again; it counts. */
 bool search_again(struct search *e, uint64_t now, uint64_t lag_ms);
+/**
+ * Give up one delegate that has said nothing in time; its agents, or another
+ * delegate, are due then.
+ * @return its id, 0 for none
+ */
+uint64_t search_mute_delegate(struct search *e, uint64_t now, uint64_t lag_ms);
+/** A delegate does not know, or is still about it. */
+void search_delegate_says(
+    struct search *e, uint64_t delegate, enum flow_where where);
+/** All have denied, but delegates were missing: go back to them. */
+void search_to_delegates(struct search *e);
+/** Whether a delegate answers, or has answered, for a failure domain. */
+bool search_covers(const struct search *e, uint32_t domain);
+/** Whether another waits for this search's outcome. */
+bool search_is_errand(const struct search *e);
+/** Note for whom an errand is. @return false when there are too many */
+bool search_add_client(struct search *e, uint64_t client);
 /** Hold a packet of the flow; one too many is dropped. */
 bool search_hold(struct search *e, const struct flow_packet *p);
 /** Take in an agent's denial or doubt. */
--- a/tests/flows/nodes.c
+++ b/tests/flows/nodes.c
@@ -396,7 +396,7 @@
 {
 	if (n->is_agent) {
 		for (int i = 0; r.set.broken == INV_BOUNDED && i < 3; i++) {
-			n->fa.told_ns = n->fa.rounds = 0;
+			n->fa.told_ns = n->fa.told_far_ns = 0;
 			fa_tick(&n->fa, r.now);
 		}
 		fa_tick(&n->fa, r.now);
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -14,6 +14,8 @@
     {"version", do_version},
     {"beat", do_beat},
     {"gone", do_gone},
+    {"asks", do_asks},
+    {"errand", do_errand},
     {"peer", do_peer},
     {"told", do_told},
     {"syn", do_syn},
@@ -51,7 +53,8 @@
 main(void)
 {
 	static const char *const names[] = {"flow-open", "flow-search",
-	    "flow-members", "flow-agent", "flow-target", "platform", "logs"};
+	    "flow-delegates", "flow-members", "flow-agent", "flow-target",
+	    "platform", "logs"};
 
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0)
--- a/tests/unit/script_flow_balancer.c
+++ b/tests/unit/script_flow_balancer.c
@@ -12,6 +12,9 @@
 static struct counters counters;
 static bool running;
 static uint64_t sequence;
+static bool listing;   /* lists of balancers are shown */
+static bool asking;    /* heartbeats ask for a list */
+static bool differing; /* and of agents that know other balancers */
 
 /* ---- what the balancer does ---- */
 
@@ -36,9 +39,24 @@
 static void
 on_send(void *ctx, uint64_t to, const struct flow_msg *m)
 {
+	static const char *const answers[] = {"here", "away", "unsure", "wait"};
+
 	(void)ctx;
 	if (m->kind == FLOW_MSG_FIND)
 		say("  ask %s about %u\n", world_name(to), m->u.find.count);
+	for (uint32_t i = 0; m->kind == FLOW_MSG_FOUND && i < m->u.find.count;
+	     i++) {
+		const struct msg_found *f = &m->u.find.flows[i];
+
+		say("  tell %s: %s %s%s%s\n", world_name(to),
+		    world_name(f->flow.caller), answers[f->where],
+		    f->owner != 0 ? " " : "",
+		    f->owner != 0 ? world_name(f->owner) : "");
+	}
+	if (m->kind == FLOW_MSG_PEERS && listing)
+		say("  list to %s: %u%s%s\n", world_name(to), m->u.peers.count,
+		    m->u.peers.same ? " same" : "",
+		    m->u.peers.sample ? " sample" : "");
 }
 
 static const struct fb_out out = {on_forward, on_reset, on_send};
@@ -145,9 +163,50 @@
 	m.u.agent.period_ms = w.count > 9 ? words_number(&w, 9) : 500;
 	m.u.agent.failing = words_number(&w, 10);
 	m.u.agent.peers = peers_digest(&fb.peers);
+	m.u.agent.ask = asking;
+	m.u.agent.peers += differing ? 1 : 0;
 	fb_message(&fb, &m, script_now_ns);
 }
 
+static void
+take(const struct flow_msg *m)
+{
+	fb_message(&fb, m, script_now_ns);
+	fb_flush(&fb);
+}
+
+/* asks AGENT SERVICE DOMAIN same|other: a heartbeat that asks for the list */
+void
+do_asks(const char *arg, const char *body)
+{
+	struct words w;
+	char beat[128];
+
+	words_split(&w, arg);
+	snprintf(beat, sizeof(beat), "%s %s %s ready 4 0 0", w.word[0],
+	    w.word[1], w.word[2]);
+	listing = asking = true;
+	differing = strcmp(w.word[3], "other") == 0;
+	do_beat(beat, body);
+	listing = asking = differing = false;
+}
+
+/* errand BALANCER CALLER SERVICE-ADDRESS ACK: it asks for its callers */
+void
+do_errand(const char *arg, const char *body)
+{
+	struct words w;
+	struct flow_msg m = {.kind = FLOW_MSG_FIND, .incarnation = 1};
+
+	(void)body;
+	words_split(&w, arg);
+	m.from = world_id(w.word[0]);
+	m.u.find.count = 1;
+	m.u.find.flows[0].flow = world_flow(w.word[1], w.word[2]);
+	m.u.find.flows[0].ack = words_number(&w, 3);
+	take(&m);
+}
+
 /* gone AGENT */
 void
 do_gone(const char *arg, const char *body)
@@ -162,7 +221,10 @@
 	fb_message(&fb, &m, script_now_ns);
 }
 
-/* peer BALANCER DOMAIN VERSION AGENTS [CAPACITY [1 for other agents]] */
+/*
+ * peer BALANCER DOMAIN VERSION AGENTS [CAPACITY [1 for other agents [young]]]:
+ * one that is not young knows all agents
+ */
 void
 do_peer(const char *arg, const char *body)
 {
@@ -178,10 +240,12 @@
 	m.u.balancer.agents = words_number(&w, 3);
 	m.u.balancer.capacity =
 	    w.count > 4 ? words_number(&w, 4) : fb.setup.capacity;
+	m.u.balancer.settled = w.count < 7;
+	m.u.balancer.whole = true;
 	m.u.balancer.peers = peers_digest(&fb.peers);
 	/* By default as many agents are the same ones. */
-	known =
-	    agents_recent(&fb.agents, script_now_ns, &m.u.balancer.agent_set);
+	known = agents_recent(
+	    &fb.agents, 0, script_now_ns, &m.u.balancer.agent_set);
 	m.u.balancer.agent_set += words_number(&w, 5);
 	m.u.balancer.agent_set += m.u.balancer.agents != known ? 1 : 0;
 	fb_message(&fb, &m, script_now_ns);
@@ -241,13 +305,6 @@
 	m->u.flow.flow = world_flow(w->word[1], w->word[2]);
 }
 
-static void
-take(const struct flow_msg *m)
-{
-	fb_message(&fb, m, script_now_ns);
-	fb_flush(&fb);
-}
-
 /* accepted AGENT CALLER SERVICE-ADDRESS */
 void
 do_accepted(const char *arg, const char *body)
@@ -277,7 +334,9 @@
 	take(&m);
 }
 
-/* found AGENT CALLER SERVICE-ADDRESS here|away|unsure */
+/*
+ * found AGENT|BALANCER CALLER SERVICE-ADDRESS here|away|unsure|wait [OWNER]
+ */
 void
 do_found(const char *arg, const char *body)
 {
@@ -289,10 +348,12 @@
 	m.from = world_id(w.word[0]);
 	m.u.find.count = 1;
 	m.u.find.flows[0].flow = world_flow(w.word[1], w.word[2]);
-	m.u.find.flows[0].where = strcmp(w.word[3], "here") == 0 ? FLOW_HERE
-				  : strcmp(w.word[3], "away") == 0
-				      ? FLOW_NOT_HERE
-				      : FLOW_UNSURE;
+	m.u.find.flows[0].where =
+	    strcmp(w.word[3], "here") == 0   ? FLOW_HERE
+	    : strcmp(w.word[3], "away") == 0 ? FLOW_NOT_HERE
+	    : strcmp(w.word[3], "wait") == 0 ? FLOW_WAIT
+					     : FLOW_UNSURE;
+	m.u.find.flows[0].owner = w.count > 4 ? world_id(w.word[4]) : 0;
 	take(&m);
 }
 
