balancer: mentions of other failure domains are their delegates' matter; ready stays

Change: a list says which failure domain an agent is of; where balancers compare their own failure domain alone, only its agents are waited for. A balancer that has become ready stays so while it hears any agent. Log: agent_mentioned.

--- a/src/flow/agents.c
+++ b/src/flow/agents.c
@@ -245,6 +245,7 @@
 		if (out->count == FLOW_PEERS_MAX)
 			return at - 1;
 		out->peers[out->count++] = (struct msg_peer){.id = v->id,
+		    .domain = v->domain_tag,
 		    .age_ms = (uint32_t)((now - v->heard_ns) / NS_PER_MS)};
 	}
 	return 0;
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -58,11 +58,24 @@
 	       !fb_passed(e->direct_ns, WATCHER_LOST_MS, now);
 }
 
+/*
+ * Once it has heard enough agents it goes on though another hears more: callers
+ * are served sooner by one that knows most targets than by none.
+ */
+static bool
+knows_targets(struct fb *fb, uint64_t now)
+{
+	if (!fb->knows_targets)
+		fb->knows_targets =
+		    fb->routes.version != 0 &&
+		    (fb_warm(fb, now) || fb_hears_enough(fb, now));
+	return fb->knows_targets;
+}
+
 bool
 fb_ready(struct fb *fb, uint64_t now)
 {
-	return !fb->leaving && fb->routes.version != 0 &&
-	       (fb_warm(fb, now) || fb_hears_enough(fb, now)) &&
+	return !fb->leaving && knows_targets(fb, now) &&
 	       (now < fb->trusted_ns || agents_live(&fb->agents, now) > 0);
 }
 
--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -81,7 +81,8 @@
 	struct turn near_turn; /**< heartbeats to the own failure domain */
 	struct turn far_turn;  /**< and to the others */
 	struct recent_agents recent;
-	bool knows_agents; /**< all that lived when it started */
+	bool knows_agents;  /**< all that lived when it started */
+	bool knows_targets; /**< enough to serve callers */
 	bool leaving;
 };
 
--- a/src/flow/balancer_certain.c
+++ b/src/flow/balancer_certain.c
@@ -136,7 +136,8 @@
 {
 	if (!fb_warm(fb, now) || agents_live(&fb->agents, now) == 0)
 		return DOUBT_YOUNG;
-	if (mentions_open(&fb->mentions, now))
+	if (mentions_open(&fb->mentions,
+		fb_near_scope(fb, now) ? fb->peers.domain_tag : 0, now))
 		return DOUBT_MENTIONED;
 	return knows_agents(fb, now) ? DOUBT_NONE : DOUBT_UNTOLD;
 }
--- a/src/flow/balancer_members.c
+++ b/src/flow/balancer_members.c
@@ -228,8 +228,8 @@
 {
 	char agent[ADDR_TEXT_MAX], balancer[ADDR_TEXT_MAX];
 
-	if (mentions_note(
-		&fb->mentions, p->id, now - p->age_ms * NS_PER_MS, now))
+	if (mentions_note(&fb->mentions, p->id, p->domain,
+		now - p->age_ms * NS_PER_MS, now))
 		event("agent_mentioned", "s:s, s:s, s:i", "agent",
 		    addr_text(addr_unpack(p->id), agent), "by",
 		    addr_text(addr_unpack(by), balancer), "age_ms",
--- a/src/flow/mentions.c
+++ b/src/flow/mentions.c
@@ -46,7 +46,8 @@
 }
 
 bool
-mentions_note(struct mentions *m, uint64_t id, uint64_t heard_ns, uint64_t now)
+mentions_note(struct mentions *m, uint64_t id, uint32_t domain,
+    uint64_t heard_ns, uint64_t now)
 {
 	uint64_t until = heard_ns + AGENT_RETURN_MS * NS_PER_MS;
 	struct mention *e = find(m, id);
@@ -59,6 +60,7 @@
 	if (e->gone && e->until_ns > now)
 		return false;
 	e->gone = false;
+	e->domain = domain;
 	if (until > e->until_ns)
 		e->until_ns = until;
 	return is_new;
@@ -82,8 +84,15 @@
 	e->until_ns = now + AGENT_RETURN_MS * NS_PER_MS;
 }
 
+static bool
+counts(const struct mention *e, uint32_t domain)
+{
+	return !e->gone &&
+	       (domain == 0 || e->domain == 0 || e->domain == domain);
+}
+
 bool
-mentions_open(struct mentions *m, uint64_t now)
+mentions_open(struct mentions *m, uint32_t domain, uint64_t now)
 {
 	bool open = false;
 	struct mention *e, *next;
@@ -93,7 +102,7 @@
 		if (e->until_ns <= now)
 			drop(m, e);
 		else
-			open |= !e->gone;
+			open |= counts(e, domain);
 	}
 	return open;
 }
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -38,11 +38,11 @@
  * flow lives there more likely than not. */
 #define SEARCH_TRY_LIFE_MS 400
 
-/** A delegate that says nothing for this is passed over, ms: it asks its
- * agents and has to wait for a small one's wake-up. */
-#define SEARCH_DELEGATE_MS 120
+/** A delegate that says nothing for this is passed over, ms: it says by the
+ * second tick that it is about it, and may itself run late. */
+#define SEARCH_DELEGATE_MS 250
 /** A delegate says so when it has no answer after this, ms. */
-#define SEARCH_ERRAND_MS 60
+#define SEARCH_ERRAND_MS 30
 /** Balancers that wait for one errand; more are told that it is not known. */
 #define SEARCH_CLIENTS_MAX 4
 
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -18,6 +18,7 @@
     {"errand", do_errand},
     {"peer", do_peer},
     {"told", do_told},
+    {"mentioned", do_mentioned},
     {"syn", do_syn},
     {"data", do_data},
     {"accepted", do_accepted},
--- a/tests/unit/flow_world.h
+++ b/tests/unit/flow_world.h
@@ -34,6 +34,7 @@
 void do_version(const char *arg, const char *body);
 void do_beat(const char *arg, const char *body);
 void do_gone(const char *arg, const char *body);
+void do_mentioned(const char *arg, const char *body);
 void do_asks(const char *arg, const char *body);
 void do_errand(const char *arg, const char *body);
 void do_told(const char *arg, const char *body);
--- a/tests/unit/script_flow_balancer.c
+++ b/tests/unit/script_flow_balancer.c
@@ -246,6 +246,9 @@
 	/* By default as many agents are the same ones. */
 	known = agents_recent(
 	    &fb.agents, 0, script_now_ns, &m.u.balancer.agent_set);
+	m.u.balancer.near_agents = (uint32_t)agents_recent(&fb.agents,
+	    fb.peers.domain_tag, script_now_ns, &m.u.balancer.near_set);
+	m.u.balancer.near_set += words_number(&w, 5);
 	m.u.balancer.agent_set += words_number(&w, 5);
 	m.u.balancer.agent_set += m.u.balancer.agents != known ? 1 : 0;
 	fb_message(&fb, &m, script_now_ns);
@@ -450,6 +453,24 @@
 	fb_message(&fb, &m, script_now_ns);
 }
 
+/* mentioned BALANCER AGENT DOMAIN AGE-MS: in a list of all agents */
+void
+do_mentioned(const char *arg, const char *body)
+{
+	struct words w;
+	struct flow_msg m = {.kind = FLOW_MSG_PEERS, .incarnation = 1};
+
+	(void)body;
+	words_split(&w, arg);
+	m.from = world_id(w.word[0]);
+	m.u.peers.agents = true;
+	m.u.peers.count = 1;
+	m.u.peers.peers[0] = (struct msg_peer){.id = world_id(w.word[1]),
+	    .domain = flow_service_tag(str_of(w.word[2])),
+	    .age_ms = words_number(&w, 3)};
+	fb_message(&fb, &m, script_now_ns);
+}
+
 void
 do_entry(const char *arg, const char *body)
 {
