--- a/src/flow/balancer_errand.c
+++ b/src/flow/balancer_errand.c
@@ -59,7 +59,8 @@
     struct fb *fb, struct search *e, enum search_verdict verdict, uint64_t now)
 {
 	if (verdict == SEARCH_NOBODY) {
-		end(fb, e, FLOW_NOT_HERE, 0, now);
+		end(fb, e, e->unsure_agent != 0 ? FLOW_UNSURE : FLOW_NOT_HERE,
+		    e->unsure_agent, now);
 	} else if (verdict == SEARCH_UNKNOWN) {
 		/* Those who wait cannot learn more from the same agents. */
 		end(fb, e, FLOW_WAIT, 0, now);
@@ -70,6 +71,20 @@
 	}
 }
 
+/*
+ * Packets, to be tried at the targets of unsure agents, are at the other
+ * balancer. It is told the name of a single one; where there are more it finds
+ * the likeliest by itself.
+ */
+static bool
+one_unsure(struct search *e, uint64_t agent)
+{
+	if (e->unsure_agent != 0 && e->unsure_agent != agent)
+		return false;
+	e->unsure_agent = agent;
+	return true;
+}
+
 void
 fb_errand_found(
     struct fb *fb, uint64_t agent, const struct msg_found *found, uint64_t now)
@@ -78,14 +93,15 @@
 
 	if (e == NULL)
 		return;
-	if (found->where != FLOW_NOT_HERE) {
-		/* Packets, to be tried at targets, are at the other balancer.
-		 */
-		end(fb, e, found->where, found->where == FLOW_HERE ? agent : 0,
-		    now);
+	if (found->where == FLOW_HERE) {
+		end(fb, e, FLOW_HERE, agent, now);
+		return;
+	}
+	if (found->where == FLOW_UNSURE && !one_unsure(e, agent)) {
+		end(fb, e, FLOW_UNSURE, 0, now);
 		return;
 	}
-	search_answer(e, agent, found->where);
+	search_answer(e, agent, FLOW_NOT_HERE);
 	fb_go_on(fb, e, now);
 }
 
--- a/src/flow/balancer_search.c
+++ b/src/flow/balancer_search.c
@@ -319,6 +319,13 @@
 
 	if (e == NULL)
 		return;
+	if (found->where == FLOW_UNSURE && v != NULL &&
+	    !agents_silent(v, now)) {
+		if (search_delegate_names(e, delegate, v->id))
+			ask(fb, e, v->id);
+		fb_go_on(fb, e, now);
+		return;
+	}
 	if (found->where != FLOW_HERE) {
 		search_delegate_says(e, delegate, found->where);
 		fb_go_on(fb, e, now);
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -113,7 +113,8 @@
 	struct flow_key flow;
 	uint32_t ack;	       /**< FIND: tells two openings apart */
 	enum flow_where where; /**< FOUND */
-	uint64_t owner;	       /**< FOUND of a delegate: agent that holds it */
+	uint64_t owner; /**< FOUND of a delegate: the agent that holds it, or
+			   the one that is unsure; 0 for none or several */
 };
 
 /** Flows that are looked for, or the answer about them. */
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -330,6 +330,21 @@
 	}
 }
 
+bool
+search_delegate_names(struct search *e, uint64_t delegate, uint64_t agent)
+{
+	for (size_t i = 0; i < e->asked_count; i++) {
+		if (e->asked[i].agent == delegate && !e->asked[i].answered)
+			delegate_answered(e, &e->asked[i]);
+	}
+	for (size_t i = 0; i < e->asked_count; i++) {
+		if (e->asked[i].agent == agent)
+			return false;
+	}
+	add_asked(e, agent);
+	return true;
+}
+
 void
 search_to_delegates(struct search *e)
 {
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -103,7 +103,8 @@
 	size_t held_count;
 	uint64_t clients[SEARCH_CLIENTS_MAX]; /**< an errand for these */
 	size_t client_count;
-	bool said_wait; /**< they know that it goes on */
+	bool said_wait;	       /**< they know that it goes on */
+	uint64_t unsure_agent; /**< the one agent that is unsure; 0 for none */
 	UT_hash_handle hh;
 };
 
@@ -154,6 +155,11 @@
 /** A delegate does not know, or is still about it. */
 void search_delegate_says(
     struct search *e, uint64_t delegate, enum flow_where where);
+/**
+ * A delegate speaks for all its agents but one that is unsure.
+ * @return whether that one has to be asked
+ */
+bool search_delegate_names(struct search *e, uint64_t delegate, uint64_t agent);
 /** All have denied, but delegates were missing: go back to them. */
 void search_to_delegates(struct search *e);
 /** Whether a delegate answers, or has answered, for a failure domain. */
