agent, balancer: far heartbeats half as often among many balancers

Change: among more than 32 balancers an agent's far heartbeats are 14 s apart at 91; a balancer greets a twelfth. Up to 32 balancers nothing changes for agents.

--- a/src/flow/agent_members.c
+++ b/src/flow/agent_members.c
@@ -19,6 +19,8 @@
  * between domains cost, and they turn to this agent only when their own are
  * full. */
 #define FAR_TIMES 3
+/** And more for each of many balancers, ms. */
+#define TELL_FAR_EACH_MS 60
 /** In the first seconds, while balancers are still found, ms; and for each
  * of many, so that all starting together does not flood them. */
 #define TELL_YOUNG_MS 250
@@ -58,6 +60,15 @@
 	return ms < TELL_MAX_MS ? ms : TELL_MAX_MS;
 }
 
+static uint64_t
+far_round_ms(uint64_t known)
+{
+	uint64_t many = known > FEW_BALANCERS ? known - FEW_BALANCERS : 0;
+
+	return TELL_MS + TELL_EACH_MS * (known - many) +
+	       TELL_FAR_EACH_MS * many;
+}
+
 static uint64_t
 young_period_of(uint64_t count)
 {
@@ -83,7 +94,7 @@
 far_period_ms(const struct fa *fa, uint64_t now)
 {
 	uint64_t known = peers_count(&fa->peers);
-	uint64_t ms = FAR_TIMES * (TELL_MS + TELL_EACH_MS * known);
+	uint64_t ms = FAR_TIMES * far_round_ms(known);
 	uint64_t young_ms = FAR_TIMES * young_period_of(known);
 
 	if (known <= FEW_BALANCERS)
--- a/src/flow/balancer_members.c
+++ b/src/flow/balancer_members.c
@@ -16,9 +16,9 @@
 #define GREET_NEAR_MOST 16
 /** Heartbeat to some of the others, ms. */
 #define GREET_FAR_MS 1000
-/** Others that get a heartbeat in one round: a sixth, so that each gets one in
- * a fraction of PEER_FORGET_MS, and no fewer and no more than this. */
-#define GREET_FAR_SHARE 6
+/** Others that get a heartbeat in one round: a twelfth, so that each gets one
+ * in a fraction of PEER_FORGET_MS, and no fewer and no more than this. */
+#define GREET_FAR_SHARE 12
 #define GREET_FAR_LEAST 3
 #define GREET_FAR_MOST 24
 /** Most balancers that are told of a new version at once. */
