balancer: an errand is of one opening; far knowledge stays with its scope

Read as a newcomer: a delegate answered two balancers that asked for the same caller's port by the number of the first alone, so a late packet of an ended flow could have had the next flow on that port denied (it would be reset while it lives); and a balancer that knew only the agents near it counted as knowing all as soon as the others near fell silent.

Change: another number is another flow, and who asks is told that it is not known; whether the agents of other failure domains are known is noted when they are.

--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -82,6 +82,7 @@
 	struct turn far_turn;  /**< and to the others */
 	struct recent_agents recent;
 	bool knows_agents;  /**< all that lived when it started */
+	bool knows_far;	    /**< those of other failure domains, too */
 	bool knows_targets; /**< enough to serve callers */
 	bool leaving;
 };
--- a/src/flow/balancer_certain.c
+++ b/src/flow/balancer_certain.c
@@ -122,6 +122,7 @@
 		return true;
 	c = compare(fb, now);
 	fb->knows_agents = learned(fb, &c, now);
+	fb->knows_far = fb->knows_agents && !fb_near_scope(fb, now);
 	if (fb->knows_agents)
 		event("agents_known", "s:i, s:i, s:i, s:I", "agents",
 		    (int)c.known, "compared", (int)c.compared, "sure",
@@ -146,8 +147,7 @@
 static enum doubt
 doubt_far(const struct fb *fb, uint64_t now)
 {
-	return fb_passed(fb->began_ns, RETURN_MS, now) ||
-		       !fb_near_scope(fb, now)
+	return fb->knows_far || fb_passed(fb->began_ns, RETURN_MS, now)
 		   ? DOUBT_NONE
 		   : DOUBT_FAR;
 }
--- a/src/flow/balancer_errand.c
+++ b/src/flow/balancer_errand.c
@@ -117,7 +117,8 @@
 		ctr_inc(fb->ctr, CTR_ERRANDS);
 		e = searches_begin(&fb->errands, &p, now);
 	}
-	if (search_add_client(e, client)) {
+	/* Another opening of a port that is used again is another flow. */
+	if (e->ack == asked->ack && search_add_client(e, client)) {
 		e->said_wait = false;
 		fb_go_on(fb, e, now);
 		return;
