balancer: who knows the agents near it alone is no witness for the others

Read as a newcomer: a balancer in a failure domain with few balancers compares all agents, and took the list of one in a larger failure domain, which had settled on its near agents alone, as that of one that knows all.

Change: such a list makes sure of the near agents alone. Script: flow-delegates, failed before (a reset).

--- a/src/flow/peers.c
+++ b/src/flow/peers.c
@@ -77,6 +77,7 @@
 	e->version = b->version;
 	e->leaving = b->leaving;
 	e->settled = b->settled;
+	e->whole = b->whole;
 	e->all.count = b->agents;
 	e->all.digest = b->agent_set;
 	e->near.count = b->near_agents;
@@ -101,7 +102,7 @@
 peers_told(const struct peer *e, struct peer_set *set)
 {
 	set->told = set->count;
-	set->sure |= e->settled;
+	set->sure |= e->settled && (e->whole || set == &e->near);
 }
 
 uint64_t
--- a/src/flow/peers.h
+++ b/src/flow/peers.h
@@ -36,11 +36,12 @@
 	uint32_t capacity;    /**< thousandths of a core */
 	uint32_t domain_tag;  /**< of its failure domain, 0 if not known */
 	bool leaving;
-	bool settled;		   /**< it knows all agents that it compares */
-	uint64_t avoid_until_ns;   /**< did not answer as a delegate */
-	struct msg_find questions; /**< to be sent together */
-	struct msg_find answers;   /**< the same */
-	struct gossip_told told;   /**< list of balancers that it got */
+	bool settled; /**< it knows all agents that it compares */
+	bool whole;   /**< and compares those of all failure domains */
+	uint64_t avoid_until_ns;	/**< did not answer as a delegate */
+	struct msg_find questions;	/**< to be sent together */
+	struct msg_find answers;	/**< the same */
+	struct gossip_told told;	/**< list of balancers that it got */
 	struct gossip_told told_agents; /**< list of agents that it got */
 	size_t told_at;			/**< where its next part begins */
 	UT_hash_handle hh;
--- a/tests/unit/script_flow_balancer.c
+++ b/tests/unit/script_flow_balancer.c
@@ -222,8 +222,9 @@
 }
 
 /*
- * peer BALANCER DOMAIN VERSION AGENTS [CAPACITY [1 for other agents [young]]]:
- * one that is not young knows all agents
+ * peer BALANCER DOMAIN VERSION AGENTS
+ *	[CAPACITY [1 for other agents [young|near]]]:
+ * one that is not young knows all agents, or those near it alone
  */
 void
 do_peer(const char *arg, const char *body)
@@ -240,8 +241,8 @@
 	m.u.balancer.agents = words_number(&w, 3);
 	m.u.balancer.capacity =
 	    w.count > 4 ? words_number(&w, 4) : fb.setup.capacity;
-	m.u.balancer.settled = w.count < 7;
-	m.u.balancer.whole = true;
+	m.u.balancer.settled = strcmp(w.word[6], "young") != 0;
+	m.u.balancer.whole = strcmp(w.word[6], "near") != 0;
 	m.u.balancer.peers = peers_digest(&fb.peers);
 	/* By default as many agents are the same ones. */
 	known = agents_recent(
