--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -68,6 +68,7 @@
 done
 check flow-run-large "$build/tests/flow-run" 1 20 76 300 faults
 check flow-run-3000 "$build/tests/flow-run" 1 1 100 3000
+check flow-run-1500 "$build/tests/flow-run" 1 25 40 1500
 check flow-run-restart "$build/tests/flow-run" 1 10 76 224 restart
 for invariant in 1 2 3 4 5 6 7 8 9; do
 	check "flow-broken-$invariant" check_flow_broken $invariant 2
