--- a/scripts/journal-days.py
+++ b/scripts/journal-days.py
@@ -2,7 +2,7 @@
 """Days of the journal's scores: for each the latest worth, served, rules.
 
 usage: journal-days.py                 one line a day, from the journal
-       journal-days.py --against FILE  the same, beside what FILE says of it
+       journal-days.py --against FILE  those scored since FILE was printed, beside it
 """
 import glob
 import json
@@ -24,7 +24,7 @@
             continue
         for day in entry.get("days") or []:
             if not day["name"].startswith("fresh-"):
-                days[entry["site"], day["name"]] = day
+                days[entry["site"], day["name"]] = dict(day, entry=entry["id"])
     return days
 
 
@@ -37,9 +37,9 @@
     before = {}
     with open(path, encoding="utf-8") as f:
         for line in f:
-            site, name, worth, served = line.split()[:4]
+            site, name, entry, worth, served = line.split()[:5]
             if worth != "worth":
-                before[site, name] = float(worth), float(served)
+                before[site, name] = entry, float(worth), float(served)
     return before
 
 
@@ -48,14 +48,18 @@
         print(__doc__, file=sys.stderr)
         return 2
     before = read_before(argv[2]) if len(argv) == 3 else {}
-    print("%-28s %-10s %6s %7s %8s %8s  %s" % (
-        "site", "day", "worth", "served", "d-worth", "d-served", "rules"))
+    print("%-28s %-10s %-9s %6s %7s %8s %8s  %s" % (
+        "site", "day", "entry", "worth", "served", "d-worth", "d-served",
+        "rules"))
     for (site, name), day in sorted(latest_days().items()):
         was = before.get((site, name))
-        change = ("%+.3f" % (day["G"] - was[0]),
-                  "%+.3f" % (day["served"] - was[1])) if was else ("", "")
-        print("%-28s %-10s %6.3f %7.3f %8s %8s  %s" % (
-            site, name, day["G"], day["served"], *change, rules_of(day)))
+        if was and was[0] == day["entry"]:
+            continue
+        change = ("%+.3f" % (day["G"] - was[1]),
+                  "%+.3f" % (day["served"] - was[2])) if was else ("", "")
+        print("%-28s %-10s %-9s %6.3f %7.3f %8s %8s  %s" % (
+            site, name, day["entry"], day["G"], day["served"], *change,
+            rules_of(day)))
     return 0
 
 
