review: silent connections to the store hide a configuration for 6.8 s

A watch on a connection that has gone silent ends by its timeout, and the retry takes an idle connection that has gone silent, too, and waits for its timeout again. Idle connections have no age and are kept after a timeout.

The case lets all open connections to the store go silent while new ones work, and changes the configuration once. It breaks CONFIG at all balancers, from 4.1 to 6.8 s after the connections went silent.

--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -93,10 +93,12 @@
 
 
 class World:
+    record_name = "record.txt"
+
     def __init__(self, folder):
         self.folder = folder
         self.start = time.monotonic()
-        self.record_file = open(os.path.join(folder, "record.txt"), "w")
+        self.record_file = open(os.path.join(folder, self.record_name), "w")
         self.tmp = tempfile.mkdtemp(prefix="review-")
         self.nodes = {}
         self.endpoints = {}
@@ -160,10 +162,16 @@
     def __init__(self):
         self.server = None
         self.writers = set()
+        self.silent = set()
 
     async def open(self, ip, port):
         self.server = await asyncio.start_server(self.serve, ip, port)
 
+    def silence(self):
+        """All open connections go silent for good; new ones work."""
+        self.silent |= self.writers
+        return len(self.writers)
+
     async def close(self):
         if self.server is not None:
             self.server.close()
@@ -187,9 +195,11 @@
                     if name.lower() == "content-length":
                         length = int(value)
                 body = await reader.readexactly(length) if length else b""
+                if writer in self.silent:
+                    continue
                 status, reply = await self.handle(method, target, body, writer)
-                if status is None:
-                    break
+                if writer in self.silent:
+                    continue
                 text = json.dumps(reply).encode() if reply is not None else b""
                 writer.write(b"HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
                              b"Content-Length: %d\r\n\r\n" % (status, len(text)) + text)
@@ -198,6 +208,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
 
@@ -762,11 +773,13 @@
 
     async def play():
         world = case_class(folder)
+        for sig in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(sig, asyncio.current_task().cancel)
         try:
             await world.store.run()
             await asyncio.wait_for(world.play(), 115)
             code = 1 if world.violations else 0
-        except (Unable, OSError, asyncio.TimeoutError) as e:
+        except (Unable, OSError, asyncio.TimeoutError, asyncio.CancelledError) as e:
             world.record("cannot run: %r" % e)
             code = 2
         finally:
