--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 from world import (Case, Client, Endpoint, Flow, Node, REUSE_AFTER_S, FLOW_TTL_S, TROUBLE, Unable,
                    main)
 
-PORTS = range(20000, 20024)
+PORTS = range(20000, 20048)
 
 
 class Reused(Case):
@@ -32,7 +32,7 @@
         self.store.configure(3, {desk: "desk", library: "library"}, ["desk", "library"])
         balancers = [Node(self, "balancer", "frontend-%d" % i, self.addr(20, i), zone) for i in (1, 2)]
         agents, endpoints = [], []
-        for i, service in ((1, "desk"), (2, "desk"), (3, "library")):
+        for i, service in ((1, "desk"), (2, "desk"), (3, "desk"), (4, "desk"), (5, "library")):
             agents.append(Node(self, "agent", "side-%d" % i, self.addr(30, i), zone, service))
             endpoints.append(Endpoint(self, "i-%d" % i, service, self.addr(30, i), zone))
         for n in balancers + agents:
@@ -51,16 +51,16 @@
             raise Unable("only %d requests ran before the disruption" % self.runs)
 
         if TROUBLE:
-            # The endpoint crashes for good; its node receives SIGTERM, and the
+            # One of four endpoints crashes for good; its node receives SIGTERM, and the
             # machine goes. Later the address belongs to a machine of the other
             # service.
             endpoints[0].vanish()
             await agents[0].term()
             agents[0].remove()
             await asyncio.sleep(REUSE_AFTER_S + 8)
-            agent = Node(self, "agent", "side-4", self.addr(30, 1), zone, "library")
+            agent = Node(self, "agent", "side-6", self.addr(30, 1), zone, "library")
             await agent.run()
-            await Endpoint(self, "i-4", "library", self.addr(30, 1), zone).run()
+            await Endpoint(self, "i-6", "library", self.addr(30, 1), zone).run()
 
         # All first flows are closed and older than flow_ttl_s.
         await asyncio.sleep(closed_at + FLOW_TTL_S + 5 - self.now())
