--- a/tests/unit/script_platform.c
+++ b/tests/unit/script_platform.c
@@ -232,6 +232,7 @@
 {
 	static struct balancer_entries list;
 	struct status st = platform_edge.read_entries(str_of(body), &list);
+	char path[PLATFORM_PATH_MAX];
 
 	(void)arg;
 	if (st.code != STATUS_OK) {
@@ -242,14 +243,17 @@
 		char at[ADDR_TEXT_MAX];
 		char *entry = platform_edge.entry_body(&list.items[i], "east");
 
-		script_printf("  %s at %s, revision %llu: %s\n",
+		platform_edge.entry_path(
+		    list.items[i].name, list.items[i].revision, path);
+		script_printf("  %s at %s, revision %llu: %s %s\n",
 		    list.items[i].name,
 		    addr_text(addr_unpack(list.items[i].id), at),
-		    (unsigned long long)list.items[i].revision, entry);
+		    (unsigned long long)list.items[i].revision, path, entry);
 		free(entry);
 	}
-	script_printf("  %zu malformed, more %d after %s\n", list.malformed,
-	    list.more, list.after);
+	platform_edge.entries_path(list.after, path);
+	script_printf("  %zu malformed, more %d, next %s\n", list.malformed,
+	    list.more, path);
 }
 
 /*
