platform/objects: an unreadable object does not hide the others

What was seen: another program leaves one odd object in the store, and a balancer takes none of the entries, evacuations or versions that come with it. It reads the same response again and again, so it never gets past the object.

Cause: a response was decoded as one JSON document. The library decodes a document as a whole or not at all, so nesting of 3,000 levels, a number out of range, \u0000, an unpaired surrogate or a byte that is not UTF-8 anywhere in it made all of it unreadable. An evacuation without a usable name made its list malformed, too.

Objects that name nothing to use are skipped, counted (store_values_bad) and logged. Heartbeats hold one target each and are rejected alone, as before; the script covers them, too.

--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -119,6 +119,9 @@
 	    "changes of the evacuated failure domains") \
 	X(EVACUATIONS_BAD, "evacuations_bad", \
 	    "malformed lists of evacuations") \
+	X(STORE_VALUES_BAD, "store_values_bad", \
+	    "malformed objects and unreadable values in responses of the " \
+	    "store, skipped") \
 	X(EVACUATIONS_TOLD, "evacuations_told", \
 	    "agents and balancers told of newer evacuations or limits") \
 	X(REFUSE_PRIORITY, "refuse_priority", \
--- a/src/flow/platform_ops.h
+++ b/src/flow/platform_ops.h
@@ -38,6 +38,8 @@
 struct platform_config {
 	struct routes routes; /**< version 0 when the response held none */
 	uint64_t revision;    /**< revision to watch from; 0 when not stated */
+	size_t unreadable;    /**< values in the response that could not be
+				 decoded; other programs may write them */
 };
 
 /** Most changes of evacuations in one response. */
@@ -57,6 +59,8 @@
 	uint64_t changed;  /**< revision of the latest change, or 0 when the
 			      response does not state all of them */
 	size_t count;
+	size_t malformed; /**< objects that were skipped; other programs may
+			     write them */
 	struct platform_evacuation items[PLATFORM_EVACUATIONS_MAX];
 	bool more;		   /**< another page follows */
 	char after[FLOW_NAME_MAX]; /**< name after which it begins */
--- a/src/task/store.c
+++ b/src/task/store.c
@@ -56,6 +56,11 @@
 		continue_after_rejection(op, c.revision);
 		return;
 	}
+	ctr_add(s->ctr, CTR_STORE_VALUES_BAD, c.unreadable);
+	if (c.unreadable > 0)
+		event("config_values_unreadable", "s:I, s:I", "count",
+		    (json_int_t)c.unreadable, "revision",
+		    (json_int_t)c.revision);
 	s->rejected_reads = 0;
 	if (c.revision != 0)
 		s->revision = c.revision;
@@ -275,6 +280,7 @@
 		event("members_malformed", "s:s", "error", st.message);
 		return;
 	}
+	ctr_add(s->ctr, CTR_STORE_VALUES_BAD, list.malformed);
 	event("members", "s:i, s:i, s:b", "count", (int)list.count, "malformed",
 	    (int)list.malformed, "more", (int)list.more);
 	s->callbacks->members(s->ctx, &list);
--- a/src/task/store_evacuations.c
+++ b/src/task/store_evacuations.c
@@ -13,8 +13,13 @@
 #define WATCH_FAILURES_MAX 4
 
 static void
-log_items(const struct platform_evacuations *in)
+log_items(struct store *s, const struct platform_evacuations *in)
 {
+	ctr_add(s->ctr, CTR_STORE_VALUES_BAD, in->malformed);
+	if (in->malformed > 0)
+		event("evacuations_malformed", "s:I, s:I", "count",
+		    (json_int_t)in->malformed, "revision",
+		    (json_int_t)in->revision);
 	for (size_t i = 0; i < in->count; i++)
 		event("evacuation_read", "s:s, s:b, s:I", "domain",
 		    in->items[i].domain, "ended", (int)in->items[i].ended,
@@ -53,7 +58,7 @@
 	outcome = evacuation_reader_handle(
 	    &s->evacuation_reader, r->status, decoded ? &in : NULL);
 	if (decoded && outcome.error == NULL)
-		log_items(&in);
+		log_items(s, &in);
 	if (outcome.error != NULL)
 		event("evacuations_reset", "s:i, s:s, s:s", "status",
 		    (int)r->status, "reason", outcome.error, "error",
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -117,6 +117,7 @@
     {"call", do_call},
     {"config", do_config},
     {"members", do_members},
+    {"corrupt", do_corrupt},
     {"frames", do_frames},
 };
 
@@ -126,8 +127,9 @@
 	static const char *const names[] = {"flow-open", "flow-reuse",
 	    "flow-search", "flow-delegates", "flow-members", "flow-watch",
 	    "flow-agent", "flow-snapshot", "flow-target", "flow-queue",
-	    "platform", "logs", "evacuation", "evacuation-spread", "cold-limit",
-	    "flow-capacity", "flow-admission", "domain-share"};
+	    "platform", "foreign-objects", "logs", "evacuation",
+	    "evacuation-spread", "cold-limit", "flow-capacity",
+	    "flow-admission", "domain-share"};
 
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0)
--- a/tests/unit/runner.c
+++ b/tests/unit/runner.c
@@ -46,20 +46,51 @@
 	fail_msg("unknown command %s", name);
 }
 
-/* Reads the body of a command, up to a line with "." only. */
+/* Appends text to a body, with \xHH as one byte. */
+static size_t
+append_bytes(char *body, size_t n, size_t cap, const char *text)
+{
+	unsigned byte;
+
+	while (*text != '\0') {
+		assert_true(n + 1 < cap);
+		if (sscanf(text, "\\x%2x", &byte) == 1) {
+			body[n++] = (char)byte;
+			text += 4;
+		} else {
+			body[n++] = *text++;
+		}
+	}
+	return n;
+}
+
+/* Appends a JSON array that is nested in itself. */
+static size_t
+append_nested(char *body, size_t n, size_t cap, size_t levels)
+{
+	assert_true(n + 2 * levels < cap);
+	memset(body + n, '[', levels);
+	memset(body + n + levels, ']', levels);
+	return n + 2 * levels;
+}
+
+/*
+ * Reads the body of a command, up to a line with "." only. \xHH stands for a
+ * byte, and a line ".nested LEVELS" for a nested JSON array.
+ */
 static void
 read_body(FILE *f, char *body, size_t cap)
 {
 	char line[1024];
 	size_t n = 0;
+	size_t levels;
 
 	while (
 	    fgets(line, sizeof(line), f) != NULL && strcmp(line, ".\n") != 0) {
-		size_t len = strlen(line);
-
-		assert_true(n + len < cap);
-		memcpy(body + n, line, len);
-		n += len;
+		if (sscanf(line, ".nested %zu", &levels) == 1)
+			n = append_nested(body, n, cap, levels);
+		else
+			n = append_bytes(body, n, cap, line);
 	}
 	body[n] = '\0';
 }
--- a/tests/unit/script_platform.c
+++ b/tests/unit/script_platform.c
@@ -256,6 +256,52 @@
 	    list.more, path);
 }
 
+/*
+ * corrupt SEED COUNT << BODY: no decoder of the store's responses or of a
+ * target's calls crashes on copies of the body with random bytes replaced
+ */
+void
+do_corrupt(const char *arg, const char *body)
+{
+	static const char bytes[] = "\"\\[]{},:0e\xff\xed\x80\n";
+	static struct balancer_entries entries;
+	static struct platform_evacuations evacuations;
+	const struct platform_ops *ops = &platform_edge;
+	struct target_heartbeat heartbeat;
+	struct balancer_entry entry;
+	struct platform_config config;
+	struct words w;
+	struct rng rng;
+	struct str copy = {NULL, strlen(body)};
+	unsigned listed = 0;
+
+	words_split(&w, arg);
+	rng_init(&rng, words_get_u32(&w, 0));
+	for (uint32_t i = 0; i < words_get_u32(&w, 1); i++) {
+		char *text = (char *)str_dup((struct str){body, copy.len});
+		char *record;
+		size_t len;
+
+		/* sizeof counts the NUL at the end of the bytes, too. */
+		for (uint32_t k = 0; k <= i % 4; k++)
+			text[rng_below(&rng, copy.len)] =
+			    bytes[rng_below(&rng, sizeof(bytes))];
+		copy.p = text;
+		if (ops->read_entries(copy, &entries).code == STATUS_OK)
+			listed++;
+		ops->read_evacuations(copy, &evacuations);
+		ops->read_config(copy, &config);
+		routes_clear(&config.routes);
+		ops->read_entry(copy, &entry);
+		ops->read_record(copy, &record, &len);
+		free(record);
+		ops->read_heartbeat(
+		    str_of("PUT"), str_of("/v1/instances/i"), copy, &heartbeat);
+		free(text);
+	}
+	script_printf("  %u were lists\n", listed);
+}
+
 /*
  * frames SEED COUNT: random messages are decoded as they were encoded, and
  * decoding corrupt ones does not crash
--- a/tests/unit/store_test.c
+++ b/tests/unit/store_test.c
@@ -48,6 +48,7 @@
 	bool lists_too_large; /* answers to reads of entries and records */
 	unsigned reads;	      /* of the current configuration */
 	unsigned old_watches; /* watches from a revision before the present */
+	bool foreign_objects; /* unreadable ones among the others */
 	unsigned lists;
 	unsigned records;
 	unsigned copies; /* reads of the configuration of a process */
@@ -60,6 +61,8 @@
 	unsigned calls; /* of the stand-in, at the latest of them */
 	unsigned holds;
 	unsigned members; /* pages of entries */
+	unsigned entries; /* in the latest page */
+	unsigned evacuated;
 	unsigned records;
 	size_t record_len;
 } seen;
@@ -83,6 +86,15 @@
 	return (size_t)n;
 }
 
+/* An object of another program, which cannot be decoded. */
+static size_t
+write_foreign(char *out)
+{
+	return (size_t)sprintf(out,
+	    "{\"meta\": {\"name\": \"other\", \"revision\": 3}, \"spec\": "
+	    "{\"address\": \"\\ud800\", \"count\": 1e999}}");
+}
+
 static size_t
 write_large(void)
 {
@@ -97,6 +109,10 @@
 	size_t len = (size_t)sprintf(body, "{\"items\": [");
 
 	stand_in.reads++;
+	if (stand_in.foreign_objects) {
+		len += write_foreign(body + len);
+		body[len++] = ',';
+	}
 	len += write_config(body + len, 512);
 	return len + (size_t)sprintf(body + len,
 			 "], \"has_more\": false, \"as_of\": %u}",
@@ -118,6 +134,12 @@
 		    body + len, "{\"deleted\": false, \"object\": ");
 		len += write_config(body + len, 512);
 		len += (size_t)sprintf(body + len, "}");
+		if (stand_in.foreign_objects) {
+			len += (size_t)sprintf(
+			    body + len, ", {\"deleted\": false, \"object\": ");
+			len += write_foreign(body + len);
+			len += (size_t)sprintf(body + len, "}");
+		}
 	}
 	return len + (size_t)sprintf(
 			 body + len, "], \"as_of\": %u}", stand_in.revision);
@@ -137,6 +159,22 @@
 	    7);
 }
 
+/* Two good objects with an unreadable one between them. */
+static size_t
+write_mixed_list(void)
+{
+	size_t len = (size_t)sprintf(body,
+	    "{\"items\": [{\"meta\": {\"name\": \"a\"}, \"spec\": "
+	    "{\"address\": \"10.1.0.1:7700\"}}, ");
+
+	stand_in.lists++;
+	len += write_foreign(body + len);
+	return len + (size_t)sprintf(body + len,
+			 ", {\"meta\": {\"name\": \"b\"}, \"spec\": "
+			 "{\"address\": \"10.1.0.2:7700\"}}], "
+			 "\"has_more\": false, \"as_of\": 5}");
+}
+
 static void
 on_request(
     void *ctx, const struct web_request *request, struct web_response *response)
@@ -150,8 +188,12 @@
 	response->status = 200;
 	response->type = "application/json";
 	response->body.p = body;
-	if (strncmp(path, "/v1/objects/balancers", 21) == 0) {
-		response->body.len = write_entries();
+	if (strncmp(path, "/v1/objects/evacuations", 23) == 0) {
+		response->body.len = write_mixed_list();
+	} else if (strncmp(path, "/v1/objects/balancers", 21) == 0) {
+		response->body.len = stand_in.foreign_objects
+					 ? write_mixed_list()
+					 : write_entries();
 	} else if (strcmp(path, CONFIG_FETCH_PATH) == 0) {
 		stand_in.copies++;
 		response->body = str_of("not a protobuf");
@@ -197,8 +239,18 @@
 on_members(void *ctx, const struct balancer_entries *list)
 {
 	(void)ctx;
-	(void)list;
 	seen.members++;
+	seen.entries = (unsigned)list->count;
+}
+
+static void
+on_evacuations(
+    void *ctx, uint64_t revision, const uint32_t *tags, uint32_t count)
+{
+	(void)ctx;
+	(void)revision;
+	(void)tags;
+	seen.evacuated = count;
 }
 
 static void
@@ -212,6 +264,7 @@
 static const struct store_callbacks callbacks = {.config = on_config,
     .watch_state = on_watch_state,
     .members = on_members,
+    .evacuations = on_evacuations,
     .record_read = on_record_read};
 
 static struct fetcher *fetcher;
@@ -397,6 +450,36 @@
 	close_store();
 }
 
+/*
+ * Guards against an unreadable object of another program that hides the others:
+ * the balancers' entries, the evacuations, and a new version of the
+ * configuration.
+ */
+static void
+test_foreign_objects(void **state)
+{
+	(void)state;
+	open_store();
+	stand_in.foreign_objects = true;
+	store_list_members(store);
+	store_watch_evacuations(store, true);
+	run_for(300);
+	store_watch_evacuations(store, false);
+	assert_int_equal(seen.entries, 2);
+	assert_int_equal(seen.evacuated, 3);
+	store_watch_config(store, true);
+	run_until(&seen.version, 1, TEST_TIMEOUT_MS);
+	assert_int_equal(seen.version, 1);
+	run_for(400);
+	stand_in.version = 2;
+	stand_in.revision = 11;
+	run_until(&seen.version, 2, TEST_TIMEOUT_MS);
+	assert_int_equal(seen.version, 2);
+	assert_int_equal(stand_in.reads, 1);
+	assert_int_equal(stand_in.old_watches, 1);
+	close_store();
+}
+
 /* Guards against a record that is too large and is read without end, so that
  * the agent never learns that there is no usable record. */
 static void
@@ -537,6 +620,7 @@
 	    cmocka_unit_test(test_malformed_config_is_read_once),
 	    cmocka_unit_test(test_start_with_malformed_config),
 	    cmocka_unit_test(test_entries),
+	    cmocka_unit_test(test_foreign_objects),
 	    cmocka_unit_test(test_record_too_large),
 	    cmocka_unit_test(test_watch_cut_off),
 	    cmocka_unit_test(test_single_failure_is_not_reported),
