task/store: replace an own entry that cannot be read

What was seen: with an object of another program under a balancer's name, without a readable address, the balancer's entry is never written; the creation is repeated and refused for ever.

Cause: a refused creation led to a replacement only if the existing entry had a usable address. Otherwise the client forgot that the entry exists.

Change: after 409 the entry is replaced whatever it holds, at its revision if that can be read. If the replacement is refused as well, the next try waits.

--- a/src/flow/platform_ops.h
+++ b/src/flow/platform_ops.h
@@ -132,8 +132,9 @@
 	    const char *name, uint64_t revision, char path[PLATFORM_PATH_MAX]);
 	/** Body that creates or replaces an entry; the caller frees it. */
 	char *(*entry_body)(const struct balancer_entry *m, const char *domain);
-	/** Decode the entry in the response to a write that was refused. */
-	bool (*read_entry)(struct str body, struct balancer_entry *out);
+	/** Decode the entry in the response to a write that was refused; what
+	 * is malformed in it is left empty or 0. */
+	void (*read_entry)(struct str body, struct balancer_entry *out);
 
 	/**
 	 * Write the path of an agent's record.
--- a/src/task/store.c
+++ b/src/task/store.c
@@ -192,12 +192,38 @@
 
 /* ---- own entry ---- */
 
+/*
+ * An entry of this name exists, from an earlier run or left by another program.
+ * It is replaced if its id differs; without a readable revision, whatever its
+ * revision is.
+ */
+static void
+replace_entry(struct operation *op, const struct fetch_result *r)
+{
+	struct store *s = op->owner;
+	struct balancer_entry existing;
+	bool replaced = s->entry_exists;
+
+	s->setup.platform_ops->read_entry(
+	    (struct str){r->body, r->len}, &existing);
+	if (existing.id == s->self.id)
+		return;
+	event("own_entry_differs", "s:s, s:I, s:b", "name", s->self.name,
+	    "revision", (json_int_t)existing.revision, "malformed",
+	    (int)(existing.id == 0));
+	s->self.revision = existing.revision;
+	s->entry_exists = true;
+	op->pending = true;
+	/* Refused again: another program writes the entry, too. */
+	op->failures += replaced ? 1 : 0;
+	operation_run_after(op, replaced ? operation_backoff_ms(op) : 0);
+}
+
 static void
 on_announced(void *ctx, const struct fetch_result *r)
 {
 	struct operation *op = ctx;
 	struct store *s = op->owner;
-	struct balancer_entry existing;
 
 	if (!operation_check_response(op, r))
 		return;
@@ -210,19 +236,13 @@
 	op->pending = false;
 	if (r->status / 100 == 2)
 		return;
-	if (r->status == 409 && s->setup.platform_ops->read_entry(
-				    (struct str){r->body, r->len}, &existing)) {
-		/* The entry is from an earlier run; it is replaced if its id
-		 * differs. */
-		if (existing.id == s->self.id)
-			return;
-		s->self.revision = existing.revision;
-		op->pending = true;
-		operation_run_after(op, 0);
+	if (r->status == 409) {
+		replace_entry(op, r);
 		return;
 	}
-	if (r->status == 404 || r->status == 409) {
+	if (r->status == 404) {
 		s->self.revision = 0;
+		s->entry_exists = false;
 		op->pending = true;
 		op->failures++;
 		operation_run_after(op, operation_backoff_ms(op));
@@ -236,7 +256,7 @@
 run_announce(struct operation *op)
 {
 	struct store *s = op->owner;
-	bool existing = s->self.revision != 0;
+	bool existing = s->entry_exists;
 	char path[PLATFORM_PATH_MAX];
 	char *body;
 
@@ -255,6 +275,7 @@
     struct store *s, const struct balancer_entry *self, const char *domain)
 {
 	s->self = *self;
+	s->entry_exists = self->revision != 0;
 	str_copy(s->domain, sizeof(s->domain), str_of(domain));
 	operation_schedule(&s->announce);
 }
--- a/src/task/store_internal.h
+++ b/src/task/store_internal.h
@@ -61,6 +61,7 @@
 	bool read_once;
 	bool unreachable; /**< the latest request failed */
 	struct balancer_entry self;
+	bool entry_exists; /**< the next write replaces the own entry */
 	char domain[FLOW_NAME_MAX];
 	char list_after[FLOW_NAME_MAX];
 	struct balancer_entry removed;
--- a/tests/unit/store_test.c
+++ b/tests/unit/store_test.c
@@ -50,6 +50,8 @@
 	unsigned old_watches; /* watches from a revision before the present */
 	bool foreign_objects; /* unreadable ones among the others */
 	unsigned lists;
+	unsigned posts;
+	unsigned puts;
 	unsigned records;
 	unsigned copies; /* reads of the configuration of a process */
 } stand_in;
@@ -175,6 +177,21 @@
 			 "\"has_more\": false, \"as_of\": 5}");
 }
 
+/* The entry exists until it is replaced, and is another program's. */
+static void
+write_entry(const struct web_request *request, struct web_response *response)
+{
+	if (str_is(request->method, "PUT")) {
+		stand_in.puts++;
+		response->status = 200;
+		response->body.len = 0;
+		return;
+	}
+	stand_in.posts++;
+	response->status = 409;
+	response->body.len = write_foreign(body);
+}
+
 static void
 on_request(
     void *ctx, const struct web_request *request, struct web_response *response)
@@ -188,7 +205,9 @@
 	response->status = 200;
 	response->type = "application/json";
 	response->body.p = body;
-	if (strncmp(path, "/v1/objects/evacuations", 23) == 0) {
+	if (!str_is(request->method, "GET")) {
+		write_entry(request, response);
+	} else if (strncmp(path, "/v1/objects/evacuations", 23) == 0) {
 		response->body.len = write_mixed_list();
 	} else if (strncmp(path, "/v1/objects/balancers", 21) == 0) {
 		response->body.len = stand_in.foreign_objects
@@ -480,6 +499,22 @@
 	close_store();
 }
 
+/* Guards against a balancer whose entry is never written, because another
+ * program has left an unreadable one of its name. */
+static void
+test_own_entry_unreadable(void **state)
+{
+	const struct balancer_entry self = {.name = "other", .id = 7};
+
+	(void)state;
+	open_store();
+	store_announce(store, &self, "east");
+	run_for(1000);
+	assert_int_equal(stand_in.posts, 1);
+	assert_int_equal(stand_in.puts, 1);
+	close_store();
+}
+
 /* Guards against a record that is too large and is read without end, so that
  * the agent never learns that there is no usable record. */
 static void
@@ -621,6 +656,7 @@
 	    cmocka_unit_test(test_start_with_malformed_config),
 	    cmocka_unit_test(test_entries),
 	    cmocka_unit_test(test_foreign_objects),
+	    cmocka_unit_test(test_own_entry_unreadable),
 	    cmocka_unit_test(test_record_too_large),
 	    cmocka_unit_test(test_watch_cut_off),
 	    cmocka_unit_test(test_single_failure_is_not_reported),
