command: refuse texts that cannot be stored, and say what cannot be decoded

What callers saw: an operator submits a text with a NUL byte in a comment, which is accepted. Every later submission ends with "not submitted: the platform does not answer", and instances that start cannot read the object.

Cause: the JSON library writes a NUL as \u0000 and rejects it when it reads. A text that is not UTF-8 was reported as rejected by the platform, though no call was made. An object that was read and not decoded was treated as no answer, and read 11 more times.

Change: check and submit name the first line that is not UTF-8 or contains a NUL. Stored texts with a NUL can be read, so the next submission replaces them.

The submission script has both results of a read.

--- a/src/base/str.c
+++ b/src/base/str.c
@@ -1,6 +1,7 @@
 #include "base/str.h"
 
 #include <arpa/inet.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -61,6 +62,17 @@
 	return true;
 }
 
+bool
+str_is_text(struct str s)
+{
+	json_t *text = s.len == 0 ? NULL : json_stringn(s.p, s.len);
+	bool ok =
+	    s.len == 0 || (text != NULL && memchr(s.p, '\0', s.len) == NULL);
+
+	json_decref(text);
+	return ok;
+}
+
 bool
 addr_parse(struct str text, struct addr *out)
 {
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -39,6 +39,8 @@
  * @return false if malformed, longer than 19 digits or above max
  */
 bool str_parse_uint(struct str s, uint64_t max, uint64_t *out);
+/** Whether a string is UTF-8 and contains no NUL, as JSON texts require. */
+bool str_is_text(struct str s);
 
 /** Parse "a.b.c.d:port". @return false if malformed or port is 0 */
 bool addr_parse(struct str text, struct addr *out);
--- a/src/codec/config_object.c
+++ b/src/codec/config_object.c
@@ -40,7 +40,8 @@
 bool
 config_object_decode(struct str body, struct sub_object *out)
 {
-	json_t *root = json_loadb(body.p, body.len, 0, NULL);
+	/* Earlier releases stored texts that contain a NUL. */
+	json_t *root = json_loadb(body.p, body.len, JSON_ALLOW_NUL, NULL);
 	json_t *text = json_object_get(root, "text");
 	json_t *history = json_object_get(root, "history");
 	json_t *item;
--- a/src/command/operator.c
+++ b/src/command/operator.c
@@ -60,18 +60,44 @@
 	return EX_SOFTWARE;
 }
 
+/* Returns the number of the first line that cannot be stored, 0 for none. */
+static unsigned
+find_invalid_line(struct str text)
+{
+	unsigned line = 0;
+
+	while (text.len > 0) {
+		const char *end = memchr(text.p, '\n', text.len);
+		size_t len =
+		    end == NULL ? text.len : (size_t)(end + 1 - text.p);
+
+		line++;
+		if (!str_is_text((struct str){text.p, len}))
+			return line;
+		text.p += len;
+		text.len -= len;
+	}
+	return 0;
+}
+
 /* Parses a file and prints the error, if any. Sets *out in every case. */
 static int
 parse_file(const char *path, struct cfg *out)
 {
 	size_t len;
 	char *text = read_text(path, &len);
-	struct status st;
+	struct status st = {0};
+	unsigned invalid;
 
 	*out = (struct cfg){0};
 	if (text == NULL)
 		return EX_NOINPUT;
-	st = cfg_parse((struct str){text, len}, path, out);
+	invalid = find_invalid_line((struct str){text, len});
+	if (invalid != 0)
+		status_set(&st, STATUS_INVALID,
+		    "%s:%u: expected UTF-8 without NUL", path, invalid);
+	else
+		st = cfg_parse((struct str){text, len}, path, out);
 	free(text);
 	if (st.code != STATUS_OK)
 		fprintf(stderr, "%s\n", st.message);
@@ -268,6 +294,11 @@
 		json_t *j = json_pack("{s:I, s:s%}", "version",
 		    (json_int_t)r.version, "text", r.text.p, r.text.len);
 
+		if (j == NULL) {
+			fprintf(stderr, "the text in force is not UTF-8\n");
+			free_reply(&r);
+			return EX_DATAERR;
+		}
 		json_dumpf(j, stdout, JSON_COMPACT);
 		putchar('\n');
 		json_decref(j);
@@ -484,6 +515,12 @@
 		printf("%.*s\n", (int)r.text.len, r.text.p);
 	} else {
 		j = json_loadb(r.text.p, r.text.len, 0, NULL);
+		if (!json_is_object(j)) {
+			fprintf(stderr, "%s: malformed reply\n", address);
+			json_decref(j);
+			free_reply(&r);
+			return EX_PROTOCOL;
+		}
 		for (int i = 0; i < CTR_COUNT; i++) {
 			v = json_object_get(j, ctr_name((enum counter)i));
 			printf("%-26s %10lld  %s\n", ctr_name((enum counter)i),
--- a/src/command/store.c
+++ b/src/command/store.c
@@ -89,7 +89,7 @@
 	perform_request(set, NULL, NULL, &answer);
 	if (answer.result == SUB_OK &&
 	    !config_object_decode((struct str){answer.body, answer.len}, obj))
-		answer.result = SUB_NO_ANSWER;
+		answer.result = SUB_MALFORMED;
 	str_copy(etag, SUB_ID_MAX, str_of(answer.etag));
 	free(answer.body);
 	return answer.result;
--- a/src/decide/submission.c
+++ b/src/decide/submission.c
@@ -110,6 +110,10 @@
 {
 	const char *writer;
 
+	if (r == SUB_MALFORMED && !s->write_uncertain)
+		return finish(s, STATUS_UNAVAILABLE,
+		    "not submitted: the configuration in the platform cannot "
+		    "be decoded");
 	if (r != SUB_OK && r != SUB_MISSING)
 		return back_off(s, SUB_READ);
 	if (r == SUB_MISSING)
@@ -147,6 +151,7 @@
 			    "refused: the platform rejected the write");
 		return back_off(s, SUB_READ);
 	case SUB_MISSING:
+	case SUB_MALFORMED:
 	case SUB_NO_ANSWER:
 		s->write_uncertain = true;
 		return back_off(s, SUB_READ);
--- a/src/decide/submission.h
+++ b/src/decide/submission.h
@@ -39,6 +39,7 @@
 	SUB_RATE_LIMITED, /**< refused by the rate limit; not done */
 	SUB_REJECTED,	  /**< refused permanently; not done */
 	SUB_NO_ANSWER,	  /**< no answer; may have been done */
+	SUB_MALFORMED,	  /**< the object was read and cannot be decoded */
 };
 
 /** Next action for the user of a submission. */
--- a/tests/real/real.c
+++ b/tests/real/real.c
@@ -49,7 +49,8 @@
 main(void)
 {
 	static char *const names[] = {"kills", "freeze", "platform", "race",
-	    "strangers", "inputs", "config-check", "flows", "checks"};
+	    "strangers", "inputs", "unreadable-text", "config-check", "flows",
+	    "checks"};
 	struct CMUnitTest tests[sizeof(names) / sizeof(names[0])];
 
 	setenv("BUILD", BUILD, 1);
--- a/tests/unit/scripted.c
+++ b/tests/unit/scripted.c
@@ -131,10 +131,10 @@
 static enum sub_result
 parse_result(const char *word)
 {
-	static const char *const names[] = {
-	    "ok", "missing", "conflict", "limited", "rejected", "lost"};
+	static const char *const names[] = {"ok", "missing", "conflict",
+	    "limited", "rejected", "lost", "malformed"};
 
-	for (int i = 0; i < 6; i++) {
+	for (int i = 0; i < 7; i++) {
 		if (strncmp(word, names[i], strlen(names[i])) == 0)
 			return (enum sub_result)i;
 	}
