codec/settings: no part of a settings file is ignored

Cause: the file was decoded up to its first NUL, and up to 64 KiB. What followed was ignored: settings in it took no effect, and no error named them.

Change: the whole file is decoded, so a NUL is an error with its line and column; a larger file is one, too.

Result: tests/real/inputs.sh has both, and settings with a number out of range, \u0000, an unpaired surrogate, a byte that is not UTF-8 and 3,000 levels of nesting.

--- a/src/codec/settings.c
+++ b/src/codec/settings.c
@@ -437,18 +437,17 @@
 	}
 }
 
+/* Reads one byte more than a file may have, at most. */
 static char *
-read_file(const char *path)
+read_file(const char *path, size_t *len)
 {
 	FILE *f = fopen(path, "re");
 	char *text;
-	size_t n;
 
 	if (f == NULL)
 		return NULL;
-	text = mem_new(SETTINGS_FILE_MAX + 1);
-	n = fread(text, 1, SETTINGS_FILE_MAX, f);
-	text[n] = '\0';
+	text = mem_new(SETTINGS_FILE_MAX + 2);
+	*len = fread(text, 1, SETTINGS_FILE_MAX + 1, f);
 	fclose(f);
 	return text;
 }
@@ -464,6 +463,7 @@
 {
 	struct reader r = {.path = path, .out = s};
 	json_error_t err;
+	size_t len;
 
 	*s = (struct settings){
 	    .log_level = LOG_NOTICE,
@@ -479,12 +479,15 @@
 	    .capacity = DEFAULT_CAPACITY_MILLICORES,
 	    .remote_byte_price = DOMAIN_SHARE_BYTE_PRICE_US,
 	};
-	r.text = read_file(path);
-	if (r.text == NULL) {
-		status_set(&r.st, STATUS_INVALID, "%s: cannot be read", path);
+	r.text = read_file(path, &len);
+	if (r.text == NULL || len > SETTINGS_FILE_MAX) {
+		status_set(&r.st, STATUS_INVALID, "%s: %s", path,
+		    r.text == NULL ? "cannot be read"
+				   : "expected at most 65536 bytes");
+		free(r.text);
 		return r.st;
 	}
-	r.root = json_loads(r.text, JSON_REJECT_DUPLICATES, &err);
+	r.root = json_loadb(r.text, len, JSON_REJECT_DUPLICATES, &err);
 	if (!json_is_object(r.root))
 		status_set(&r.st, STATUS_INVALID, "%s:%d:%d: %s", path,
 		    r.root == NULL ? err.line : 1,
--- a/tests/real/inputs.sh
+++ b/tests/real/inputs.sh
@@ -20,3 +20,16 @@
 run balancer --settings "$lab/operator.json"
 echo short >"$lab/key"
 run status --settings "$lab/operator.json"
+# Settings that cannot be decoded.
+settings() {
+	printf "$1" >"$lab/settings.json"
+	run balancer --settings "$lab/settings.json"
+}
+settings '{"domain": 1e999}'
+settings '{"domain": 99999999999999999999}'
+settings '{"domain": "\\u0000"}'
+settings '{"domain": "\\ud800"}'
+settings '{"domain": "\377"}'
+settings "{\"domain\": $(printf '[%.0s' {1..3000})"
+settings '{"domain": "a"}\0{"address": 7}'
+settings "{\"domain\": \"a\"}$(printf '%70000s')x"
