tests/unit: rename a command of the platform's script

The command that decodes randomly changed objects had the name of another one, of the script for the wire format, whose prototype it took from script.h. It is "mutate" now. The scripts print the same otherwise, and pass.

--- a/tests/unit/flow_commands.h
+++ b/tests/unit/flow_commands.h
@@ -157,7 +157,7 @@
 void do_config(const char *arg, const char *body);
 void do_members(const char *arg, const char *body);
 void do_record(const char *arg, const char *body);
-void do_corrupt(const char *arg, const char *body);
+void do_mutate(const char *arg, const char *body);
 void do_frames(const char *arg, const char *body);
 
 #endif
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -117,7 +117,7 @@
     {"call", do_call},
     {"config", do_config},
     {"members", do_members},
-    {"corrupt", do_corrupt},
+    {"mutate", do_mutate},
     {"frames", do_frames},
 };
 
--- a/tests/unit/script_platform.c
+++ b/tests/unit/script_platform.c
@@ -257,11 +257,11 @@
 }
 
 /*
- * corrupt SEED COUNT << BODY: no decoder of the store's responses or of a
+ * mutate SEED COUNT << BODY: no decoder of the store's responses or of a
  * target's calls crashes on copies of the body with random bytes replaced
  */
 void
-do_corrupt(const char *arg, const char *body)
+do_mutate(const char *arg, const char *body)
 {
 	static const char bytes[] = "\"\\[]{},:0e\xff\xed\x80\n";
 	static struct balancer_entries entries;
