request/balancer: a hint holds only for an instance of the flow's service

What callers saw: an instance ends and its address is given to an instance of another service. All datagrams of a caller whose port had a flow at the first one go there and are dropped, with each retransmission, for as long as the balancer caches the hint.

Cause: hints have no age, and the owner's service was compared with the flow's only when the hint was stored.

Change: the owner's service is compared when the hint is used; a hint that no longer holds is dropped, and the datagram goes to the flow's home.

Result: on the code before, request-hint.script shows "datagram of 7 to 1" after instance 1 has become one of library. Now it goes to instance 2 of desk, or is counted as dropped when there is none.

--- a/src/request/balancer.c
+++ b/src/request/balancer.c
@@ -164,26 +164,32 @@
 
 /* ---- datagrams ---- */
 
+/* The owner's address may belong to an instance of another service by now,
+ * which would drop the datagrams. */
+static struct mbr_entry *
+hinted_owner(struct balancer *b, const struct flow_key *flow)
+{
+	uint64_t owner = hint_get(b->hints, flow);
+	struct mbr_entry *e = owner == 0 ? NULL : mbr_find(b->members, owner);
+
+	if (e != NULL && mbr_is_reachable(e) && e->m.service == flow->service) {
+		ctr_inc(b->ctr, CTR_HINT_HITS);
+		return e;
+	}
+	hint_drop(b->hints, flow);
+	return NULL;
+}
+
 void
 bal_handle_caller_datagram(struct balancer *b, const struct flow_key *flow,
     struct str bytes, uint64_t now)
 {
-	struct mbr_entry *e = NULL;
-	uint64_t owner;
+	struct mbr_entry *e;
 	struct msg m; /* large: only the fields that are sent are set */
 
 	(void)now;
 	ctr_inc(b->ctr, CTR_CALLER_IN);
-	owner = hint_get(b->hints, flow);
-	if (owner != 0) {
-		e = mbr_find(b->members, owner);
-		if (e != NULL && mbr_is_reachable(e)) {
-			ctr_inc(b->ctr, CTR_HINT_HITS);
-		} else {
-			hint_drop(b->hints, flow);
-			e = NULL;
-		}
-	}
+	e = hinted_owner(b, flow);
 	if (e == NULL)
 		e = mbr_home(b->members, flow->service, flow_hash(flow), 0);
 	if (e == NULL) {
--- a/tests/unit/script.h
+++ b/tests/unit/script.h
@@ -1,6 +1,6 @@
 /**
  * @file script.h
- * Output of the commands of scripts, and the commands for the wire format.
+ * Output of the commands of scripts, and commands in files of their own.
  */
 #ifndef PW_SCRIPT_H
 #define PW_SCRIPT_H
@@ -20,4 +20,10 @@
 /** garbage SEED COUNT: decodes signed frames with corrupt contents. */
 void do_garbage(const char *arg, const char *body);
 
+/* Commands of script_request_balancer.c, described there. */
+void do_request_balancer(const char *arg, const char *body);
+void do_instance(const char *arg, const char *body);
+void do_hint(const char *arg, const char *body);
+void do_datagram(const char *arg, const char *body);
+
 #endif
--- a/tests/unit/scripted.c
+++ b/tests/unit/scripted.c
@@ -487,13 +487,17 @@
     {"keys", do_keys},
     {"corrupt", do_corrupt},
     {"garbage", do_garbage},
+    {"balancer", do_request_balancer},
+    {"instance", do_instance},
+    {"hint", do_hint},
+    {"datagram", do_datagram},
 };
 
 int
 main(void)
 {
 	static const char *const names[] = {"text", "settings", "submission",
-	    "permit", "budget", "member", "delta", "wire"};
+	    "permit", "budget", "member", "delta", "wire", "request-hint"};
 
 	if (sodium_init() < 0)
 		return 1;
