flow/table: an opening with another sequence number begins a new flow

What callers saw: a caller uses a port again within 8 s after it closed a flow there. Once the new flow has been idle for 8 s its next packet is returned, no agent says that it holds the flow, and the balancer resets it though its target lives. A copy of such an opening reaches a target in an evacuated failure domain, or a cold one beyond its limit; and a refusal of the target is not passed on.

Cause: an agent's entry of a flow is found by the key alone. The new flow took over the FINs of the earlier one, so its entry was closed with the first packet of the target, and any copy of an opening counted as one of a flow that was accepted.

Change: the entry keeps the sequence number of the opening packet. An opening with another number begins a new flow and nothing of the earlier one is kept, what was held of it included. Only a copy of the same opening is exempt from evacuations and cold limits.

Result: flow-port-reuse.script on the code before: "c1 at 9101 is not held" for an open flow, and openings delivered instead of refused (evacuated, cold, full).

--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -236,8 +236,7 @@
 {
 	bool cold = target_may_be_cold(&fa->target, now);
 
-	if (p->copy > 0 && f != NULL && f->state != ENTRY_CLOSED &&
-	    f->state != ENTRY_PROBED)
+	if (table_is_copy(f, p))
 		return true;
 	if (cold && !cold_limit_allows(&fa->cold, now)) {
 		ctr_inc(fa->ctr, CTR_COLD_REFUSED);
@@ -262,8 +261,8 @@
 	}
 	/* A copy of an opening that the target has accepted opens no flow. */
 	if (evacuation_contains(&fa->evacuation, fa->peers.domain_tag) &&
-	    (p->copy == 0 || f == NULL ||
-		(f->state != ENTRY_HALF_OPEN && f->state != ENTRY_OPEN))) {
+	    (p->copy == 0 || !table_is_copy(f, p) ||
+		f->state == ENTRY_OPENING)) {
 		fa_refuse(fa, via, &p->flow, FLOW_REFUSED_EVACUATED);
 		return;
 	}
@@ -277,8 +276,10 @@
 		fa_refuse(fa, via, &p->flow, FLOW_REFUSED_COLD);
 		return;
 	}
-	if (f == NULL || f->state == ENTRY_CLOSED || f->state == ENTRY_PROBED)
+	if (table_begins_flow(f, p)) {
 		f = upsert_flow(fa, &p->flow, ENTRY_OPENING, now);
+		table_record_opening(f, p->seq);
+	}
 	deliver(fa, f, p, via, now);
 }
 
--- a/src/flow/table.c
+++ b/src/flow/table.c
@@ -141,6 +141,39 @@
 	}
 }
 
+bool
+table_is_copy(const struct flow_entry *f, const struct flow_packet *p)
+{
+	return f != NULL && f->state != ENTRY_CLOSED && f->opening_seq_valid &&
+	       f->opening_seq == p->seq;
+}
+
+bool
+table_begins_flow(const struct flow_entry *f, const struct flow_packet *p)
+{
+	if (f == NULL || f->state == ENTRY_CLOSED || f->state == ENTRY_PROBED)
+		return true;
+	/* Of a flow whose opening was not seen, any copy may be one of it. */
+	return f->opening_seq_valid ? f->opening_seq != p->seq : p->copy == 0;
+}
+
+/* Whether a change to a state begins a new flow. */
+static bool
+begins_flow(const struct flow_entry *f, enum entry_state to)
+{
+	if (to == ENTRY_HALF_OPEN)
+		return f->state != ENTRY_OPENING && f->state != ENTRY_HALF_OPEN;
+	return to == ENTRY_OPENING;
+}
+
+static void
+forget_flow(struct flow_table *t, struct flow_entry *f)
+{
+	table_set_state(t, f, ENTRY_CLOSED, f->state_since_ns);
+	*f = (struct flow_entry){
+	    .flow = f->flow, .state = ENTRY_CLOSED, .via = f->via, .hh = f->hh};
+}
+
 struct flow_entry *
 table_upsert(struct flow_table *t, const struct flow_key *flow,
     enum entry_state state, uint64_t now, bool *evicted)
@@ -159,13 +192,8 @@
 		f->state = ENTRY_CLOSED;
 		HASH_ADD(hh, t->table, flow, sizeof(f->flow), f);
 	}
-	if (state == ENTRY_OPENING || state == ENTRY_HALF_OPEN) {
-		f->caller_end_valid = false;
-		/* The caller reuses the key; what is held is of the old flow.
-		 */
-		if (rq_holds(&t->queue, flow))
-			end_flow(t, f);
-	}
+	if (begins_flow(f, state))
+		forget_flow(t, f);
 	table_set_state(t, f, state, now);
 	f->last_used_ns = now;
 	return f;
@@ -201,6 +229,13 @@
 	}
 }
 
+void
+table_record_opening(struct flow_entry *f, uint32_t seq)
+{
+	f->opening_seq = seq;
+	f->opening_seq_valid = true;
+}
+
 void
 table_record_seq(struct flow_entry *f, uint32_t seq)
 {
--- a/src/flow/table.h
+++ b/src/flow/table.h
@@ -31,12 +31,14 @@
 				    0 for none */
 	uint64_t state_since_ns; /**< when it entered the state */
 	uint64_t last_used_ns;	 /**< latest packet in either direction */
-	uint64_t request_ns; /**< when a request was passed to the target that
-				it has not answered, or held; 0 for none */
-	unsigned priority;   /**< priority + 1 of that request; 0: unknown */
-	unsigned overdue;    /**< priority + 1 of a request at the target that
-				was released by time; 0 for none */
-	uint32_t target_seq; /**< the target's last sequence number */
+	uint64_t request_ns;  /**< when a request was passed to the target that
+				 it has not answered, or held; 0 for none */
+	unsigned priority;    /**< priority + 1 of that request; 0: unknown */
+	unsigned overdue;     /**< priority + 1 of a request at the target that
+				 was released by time; 0 for none */
+	uint32_t opening_seq; /**< sequence number of its opening packet */
+	bool opening_seq_valid; /**< that packet passed this agent */
+	uint32_t target_seq;	/**< the target's last sequence number */
 	bool target_seq_valid;
 	uint32_t caller_end; /**< end of the data that the caller has sent */
 	bool caller_end_valid;
@@ -68,8 +70,17 @@
 /** Find a flow; NULL when it is not in the table. */
 struct flow_entry *table_find(
     const struct flow_table *t, const struct flow_key *flow);
+/** Whether an opening packet is a copy of the one that began this flow. */
+bool table_is_copy(const struct flow_entry *f, const struct flow_packet *p);
 /**
- * Find or add a flow, and set its state.
+ * Whether an opening packet begins a flow that is not in the table: the caller
+ * may have used its port before.
+ * @param f the entry of the packet's key, or NULL
+ */
+bool table_begins_flow(const struct flow_entry *f, const struct flow_packet *p);
+/**
+ * Find or add a flow, and set its state. What is known of an earlier flow of
+ * the key is forgotten when the state begins a new one.
  * @param evicted set to whether the oldest entry was removed to make room
  */
 struct flow_entry *table_upsert(struct flow_table *t,
@@ -104,6 +115,8 @@
  * @param idle_ms timeout of flows in ENTRY_OPEN
  */
 void table_expire(struct flow_table *t, uint64_t idle_ms, uint64_t now);
+/** Record the sequence number of the packet that opens a flow. */
+void table_record_opening(struct flow_entry *f, uint32_t seq);
 /** Record a sequence number that the target sent. */
 void table_record_seq(struct flow_entry *f, uint32_t seq);
 /** The caller's last acknowledgement number; until the caller has sent a packet
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -126,8 +126,8 @@
 {
 	static const char *const names[] = {"flow-open", "flow-reuse",
 	    "flow-search", "flow-delegates", "flow-members", "flow-watch",
-	    "flow-agent", "flow-snapshot", "flow-target", "flow-queue",
-	    "platform", "foreign-objects", "logs", "evacuation",
+	    "flow-agent", "flow-port-reuse", "flow-snapshot", "flow-target",
+	    "flow-queue", "platform", "foreign-objects", "logs", "evacuation",
 	    "evacuation-spread", "cold-limit", "flow-capacity",
 	    "flow-admission", "domain-share"};
 
