flow/balancer_search: packets of a later flow do not wait for an earlier one

What callers saw: a caller gives up a flow that a balancer searches for, uses its port again, and the opening goes to another balancer. Its packets that reach the first one wait until that search ends, up to 3 s, and are dropped then.

Cause: searches are found by the flow's key alone. Replies to queries were compared by acknowledgement number, packets were not.

Change: a packet of another flow with the same key ends the search, and one for its own flow begins.

--- a/src/flow/balancer_search.c
+++ b/src/flow/balancer_search.c
@@ -249,6 +249,11 @@
 {
 	struct search *e = searches_find(&fb->searches, &p->flow);
 
+	if (e != NULL && !search_is_about(e, p->ack)) {
+		/* Of an earlier flow: the caller has used its port again. */
+		searches_remove(&fb->searches, e);
+		e = NULL;
+	}
 	if (e == NULL) {
 		e = searches_begin(&fb->searches, p, now);
 		ctr_inc(fb->ctr, CTR_SEARCHES);
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -189,9 +189,9 @@
 /** Hold a packet of the flow; false when it is dropped, as there is no room. */
 bool search_hold_packet(struct search *e, const struct flow_packet *p);
 /**
- * Whether a reply is about the flow that is searched for, and not about another
- * flow with the same key.
- * @param ack the reply's acknowledgement number; 0 when not stated
+ * Whether a reply or a packet is of the flow that is searched for, and not of
+ * another flow with the same key.
+ * @param ack its acknowledgement number; 0 when not stated
  */
 bool search_is_about(const struct search *e, uint32_t ack);
 /**
