flow/agent: a refused connection does not outweigh a later heartbeat

What callers saw: an agent is frozen while a check of its target's port is pending, and the target starts again meanwhile. When the agent wakes, the refusal makes the new incarnation absent until its next heartbeat, and resets flows that may be its.

Cause: the result of a check was compared with the time of the target's latest packet alone. The refusal tells about the time when the check began.

Change: a refusal does not count if a packet or a heartbeat has come since.

--- a/src/flow/agent_control.c
+++ b/src/flow/agent_control.c
@@ -354,9 +354,11 @@
 	    (json_int_t)((now - fa->target.last_packet_ns) / NS_PER_MS));
 	if (result == FA_CHECK_ACCEPTED)
 		target_set_listens(&fa->target);
-	/* A packet sent since the check began is more recent than a refusal. */
+	/* What the target sent since the check began is more recent than a
+	 * refusal. */
 	if (result != FA_CHECK_REFUSED ||
-	    fa->target.last_packet_ns > fa->last_check_ns)
+	    fa->target.last_packet_ns > fa->last_check_ns ||
+	    fa->target.heartbeat_ns > fa->last_check_ns)
 		return;
 	target_set_refused(&fa->target);
 	fa_reset_all_flows(fa, now);
