flow/target: an announced end holds only while no heartbeats follow

What callers saw: a target starts again under its name, and the end of its earlier process arrives late. The target gets no new flow for its whole life.

Cause: the announcement of an end names no incarnation. All later heartbeats of the incarnation that was the latest when it came were ignored as late ones.

Change: a heartbeat that comes after the time of three heartbeats is no late one, and ends the absence.

Result: on the code before, flow-target.script shows "outdated" for heartbeats 3.55 and 4.75 s after the end, and "refused c1, leaving". Now the second is accepted, and the opening is delivered.

--- a/src/flow/target.c
+++ b/src/flow/target.c
@@ -75,7 +75,10 @@
 	t->cold_until_ns = hb->cold_ms > 0
 			       ? now + (hb->cold_ms + UINT64_C(1)) * NS_PER_MS
 			       : now;
-	if (same && t->ended_ns != 0)
+	/* The end may have been that of an earlier process of the same name:
+	 * after a while, a heartbeat is no late one. */
+	if (same && t->ended_ns != 0 &&
+	    now <= t->ended_ns + heartbeat_timeout_ns(t))
 		return HEARTBEAT_STALE;
 	t->ended_ns = 0;
 	t->suspected = false;
