tests/flows: mode "reuse", in which all flows of a caller have one port

The randomised run gave each flow a port of its own, so nothing in it could be taken for an earlier flow. In the new mode a caller has one port, its openings have random sequence numbers, targets confirm the end of a flow, and callers ignore resets of an earlier one. check.sh runs three seeds of it, with faults and without.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -87,6 +87,10 @@
 for seed in 1 2 3; do
 	check "flow-run-power-$seed" \
 	    "$build/tests/flow-run" $seed 10 9 24 power
+	check "flow-run-reuse-$seed" \
+	    "$build/tests/flow-run" $seed 60 9 24 reuse
+	check "flow-run-reuse-faults-$seed" \
+	    "$build/tests/flow-run" $seed 60 9 24 reuse faults
 	check "flow-run-overload-$seed" \
 	    "$build/tests/flow-run" $seed 5 3 8 overload
 	check "flow-run-away-$seed" \
--- a/tests/flows/callers.c
+++ b/tests/flows/callers.c
@@ -39,6 +39,9 @@
 /** Least share of busy slots at which a refusal is in order, in thousandths. */
 #define LOAD_BUSY_MILLI 900
 
+/** Port of all flows of a caller in the reuse mode. */
+#define REUSED_PORT 1024
+
 static struct sim_caller *callers;
 static uint64_t requested, served, failed, refused, resets;
 static uint64_t requested_before, served_before;
@@ -80,8 +83,10 @@
 send_opening(unsigned who)
 {
 	struct sim_caller *c = &callers[who];
-	const struct packet p = {
-	    .flow = c->flow, .flags = FLOW_SYN, .copy = c->retransmissions};
+	const struct packet p = {.flow = c->flow,
+	    .seq = c->opening_seq,
+	    .flags = FLOW_SYN,
+	    .copy = c->retransmissions};
 
 	send_from_caller(who, &p);
 }
@@ -137,6 +142,10 @@
 	struct sim_caller *c = &callers[who];
 
 	c->port = (uint16_t)(c->port < 1024 ? 1024 : c->port + 1);
+	if (sim.options.reuse_ports) {
+		c->port = REUSED_PORT;
+		c->opening_seq = (uint32_t)rng_next(&sim.rng);
+	}
 	c->flow = (struct flow_key){
 	    addr_pack((struct addr){NET_CALLER + who, c->port}),
 	    c->high ? priority_address(c->service)
@@ -352,7 +361,10 @@
 	if (c->state == IDLE || p->flow.caller != c->flow.caller)
 		return;
 	if ((p->flags & FLOW_RST) != 0) {
-		handle_reset(who, p);
+		/* On an open flow, a reset of an earlier one is ignored. */
+		if (!sim.options.reuse_ports || c->state == OPENING ||
+		    flow_acks_match(p->ack, c->seq))
+			handle_reset(who, p);
 		return;
 	}
 	if ((p->flags & FLOW_SYN) != 0) {
--- a/tests/flows/endpoints.h
+++ b/tests/flows/endpoints.h
@@ -20,6 +20,7 @@
 
 struct target_flow {
 	struct flow_key flow;
+	uint32_t opening_seq; /**< sequence number of the caller's opening */
 	uint32_t seq;
 	bool open;
 	uint64_t last_accepted_request; /**< running, queued or finished */
@@ -71,6 +72,7 @@
 	uint64_t started_ns; /**< start of the opening or the request */
 	unsigned target; /**< index of the agent whose target holds the flow */
 	unsigned incarnation;	/**< of the target */
+	uint32_t opening_seq;	/**< sequence number of the opening */
 	uint32_t seq;		/**< initial sequence number of the target */
 	uint64_t request;	/**< id of the current or last request */
 	unsigned executions;	/**< of the current request */
--- a/tests/flows/main.c
+++ b/tests/flows/main.c
@@ -32,6 +32,7 @@
  * "double", "fivefold" and so on: as overload, with requests of two priorities,
  * a part of which take longer, see loads_parse(); checks what callers get, by
  * priority and by failure domain.
+ * "reuse": all flows of a caller have the same port, and pauses of up to 10 s.
  * "slopes": measures processor time, which no check uses.
  * "break N": disables the mechanism behind invariant N; the check of that
  * invariant must report it.
@@ -70,7 +71,7 @@
 {
 	fprintf(stderr, "usage: flow-run SEED SECONDS BALANCERS AGENTS "
 			"[faults|restart|power|away|overload|evacuate|"
-			"priorities|cutoff|slopes]\n"
+			"priorities|cutoff|reuse|slopes]\n"
 			"\t[double|fivefold|uneven|burst|slow|unequal|"
 			"unequal-double] [break N]\n");
 	exit(2);
@@ -598,6 +599,7 @@
 		evacuate |= strcmp(argv[i], "evacuate") == 0;
 		sim.options.priorities |= strcmp(argv[i], "priorities") == 0;
 		cutoff |= strcmp(argv[i], "cutoff") == 0;
+		sim.options.reuse_ports |= strcmp(argv[i], "reuse") == 0;
 		loads_parse(argv[i]);
 		if (strcmp(argv[i], "break") == 0 && i + 1 < argc)
 			sim.options.broken_invariant =
@@ -612,7 +614,8 @@
 		sim.options.per_service = sim.options.agents;
 		overload = true;
 	}
-	sim.options.think_range_ms = power	? POWER_THINK_RANGE_MS
+	sim.options.think_range_ms = power || sim.options.reuse_ports
+					 ? POWER_THINK_RANGE_MS
 				     : overload ? OVERLOAD_CALM_THINK_MS
 						: THINK_RANGE_MS;
 	sim.options.single_requests = overload;
--- a/tests/flows/simulation.h
+++ b/tests/flows/simulation.h
@@ -190,6 +190,8 @@
 				    priority, the others a flow for each request, of
 				    high priority */
 	bool single_requests;	 /**< a flow for each request, with retries */
+	bool reuse_ports; /**< a caller uses one port, and targets confirm
+			     the end of a flow */
 	struct load_options load;
 	enum invariant broken_invariant; /**< its mechanism is disabled; 0 for
 					      none */
--- a/tests/flows/targets.c
+++ b/tests/flows/targets.c
@@ -200,11 +200,17 @@
 	    "the target of agent %u got an opening after it reported leaving",
 	    agent);
 	HASH_FIND(hh, t->flows, &p->flow, sizeof(p->flow), f);
+	if (f != NULL && f->opening_seq != p->seq) {
+		HASH_DEL(t->flows, f);
+		free(f);
+		f = NULL;
+	}
 	if (f == NULL) {
 		check_evacuated(agent, p->forwarded_by);
 		check_cold(agent);
 		f = mem_new(sizeof(*f));
 		f->flow = p->flow;
+		f->opening_seq = p->seq;
 		f->seq = (uint32_t)rng_next(&sim.rng);
 		HASH_ADD(hh, t->flows, flow, sizeof(f->flow), f);
 	}
@@ -373,6 +379,17 @@
 	memmove(&t->queue[0], &t->queue[1], t->queued * sizeof(t->queue[0]));
 }
 
+static void
+confirm_end(unsigned agent, const struct target_flow *f)
+{
+	const struct packet p = {.flow = f->flow,
+	    .seq = f->seq + 1,
+	    .flags = FLOW_FIN | FLOW_ACK,
+	    .tag = agent};
+
+	send_to_agent(agent, &p);
+}
+
 void
 target_handle_packet(unsigned agent, const struct packet *p)
 {
@@ -397,6 +414,8 @@
 	f->open = true;
 	get_caller(&p->flow)->strays = 0;
 	if ((p->flags & (FLOW_FIN | FLOW_RST)) != 0) {
+		if (sim.options.reuse_ports && (p->flags & FLOW_FIN) != 0)
+			confirm_end(agent, f);
 		HASH_DEL(t->flows, f);
 		free(f);
 	} else if (p->request != 0) {
