tests/flows: packets of different requests do not add up to strays

Invariant 2 counted packets at other targets over the whole time since a packet last reached the flow's own target, however long the flow was idle between. The users' rule is about a span of 2 s.

A request begins only after the previous one was answered, so the flow's target received that; the count starts again there. A request without an answer is still counted over its whole time, up to 3 s.

--- a/tests/flows/callers.c
+++ b/tests/flows/callers.c
@@ -246,7 +246,9 @@
 	struct sim_caller *c = &callers[who];
 
 	check_lost_flow(who, c);
-
+	/* The previous request was answered, so it reached the flow's target;
+	 * copies of it may have reached others after that. */
+	c->strays = 0;
 	c->state = REQUESTING;
 	c->request = (uint64_t)who << 32 | (uint32_t)(++requested);
 	c->executions = 0;
