--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -171,6 +171,8 @@
 	X(QUEUE_DROPPED, "queue_packets_dropped", \
 	    "held packets dropped: their flow or the target ended") \
 	X(LISTS_SENT, "lists_told", "parts of member lists sent") \
+	X(FLOWS_ADOPTED, "flows_adopted", \
+	    "flows taken over from the snapshot of an earlier process") \
 	X(TARGET_RETURNED, "target_returned", \
 	    "packets returned by the target") \
 	X(TARGET_HEARTBEATS, "target_words", \
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -333,6 +333,10 @@
 {
 	struct flow_entry *f = table_find(&fa->flows, &p->flow);
 
+	if (f != NULL && table_is_outdated(f, p->ack)) {
+		table_remove(&fa->flows, f);
+		f = NULL;
+	}
 	if (f == NULL) {
 		handle_unknown_flow(fa, via, p, now);
 		return;
@@ -353,6 +357,9 @@
 	}
 	if (f->state == ENTRY_HALF_OPEN)
 		table_set_state(&fa->flows, f, ENTRY_OPEN, now);
+	/* The flow has become known since the agent asked for the probe. */
+	if (p->probe && f->state == ENTRY_OPEN)
+		fa_send_find_reply(fa, via, &p->flow, p->ack, FIND_HELD);
 	deliver(fa, f, p, via, now);
 	if ((p->flags & FLOW_RST) != 0) {
 		fa_update_load(fa, now);
@@ -390,7 +397,7 @@
 	} else if (f->state == ENTRY_PROBED && f->balancer_probe) {
 		fa_send_find_reply(
 		    fa, f->via, &p->flow, f->caller_ack, FIND_NOT_HELD);
-	} else if (f->unconfirmed && f->state == ENTRY_OPEN) {
+	} else if ((f->unconfirmed || f->adopted) && f->state == ENTRY_OPEN) {
 		reset_flow(fa, f, now);
 		return;
 	} else {
@@ -415,6 +422,7 @@
 	table_record_seq(f, p->seq);
 	f->last_used_ns = now;
 	f->unconfirmed = false;
+	f->adopted = false;
 	send_flow_message(fa, f->via, FLOW_MSG_ACCEPTED, &about);
 	fa->callbacks->answer(fa->ctx, p);
 }
@@ -513,6 +521,7 @@
 	table_record_seq(f, p->seq);
 	f->last_used_ns = now;
 	f->unconfirmed = false;
+	f->adopted = false;
 	f->target_fin |= (p->flags & FLOW_FIN) != 0;
 	/* What the target sends does not answer a request that is held. */
 	if (p->data > 0 && f->request_ns != 0 &&
--- a/src/flow/agent_control.c
+++ b/src/flow/agent_control.c
@@ -122,7 +122,8 @@
 {
 	const struct flow_entry *f = table_find(&fa->flows, &item->flow);
 
-	if (f == NULL || f->state == ENTRY_PROBED)
+	if (f == NULL || f->state == ENTRY_PROBED ||
+	    table_is_outdated(f, item->ack))
 		return fa->flows_complete || target_has_ended(&fa->target, now)
 			   ? FIND_NOT_HELD
 			   : FIND_UNKNOWN;
--- a/src/flow/agent_queue.c
+++ b/src/flow/agent_queue.c
@@ -85,7 +85,8 @@
 	struct request_queue *q = &fa->flows.queue;
 	const struct rq_load load = current_load(fa);
 	/* A flow that the target may not hold is settled by its packets. */
-	bool begins = f->state == ENTRY_OPEN && !f->unconfirmed && !p->probe &&
+	bool begins = f->state == ENTRY_OPEN && !f->unconfirmed &&
+		      !f->adopted && !p->probe &&
 		      (p->flags & (FLOW_SYN | FLOW_RST)) == 0 &&
 		      table_begins_request(f, p);
 	enum rq_action action = rq_offer(q, p, begins, &load, now);
--- a/src/flow/agent_snapshot.c
+++ b/src/flow/agent_snapshot.c
@@ -43,6 +43,21 @@
 		snapshot_clear(&r->stored);
 }
 
+/* The target still runs, and holds the flows that have not ended since. */
+static void
+adopt_flows(struct fa *fa, uint64_t now)
+{
+	const struct snapshot *s = &fa->recovery.stored;
+	size_t count = 0;
+
+	for (size_t i = 0; i < s->count; i++) {
+		if (table_adopt(&fa->flows, &s->flows[i].flow,
+			s->flows[i].caller_ack, now))
+			count++;
+	}
+	ctr_add(fa->ctr, CTR_FLOWS_ADOPTED, count);
+}
+
 void
 fa_continue_recovery(struct fa *fa, uint64_t now)
 {
@@ -60,10 +75,13 @@
 		    (json_int_t)r->stored.target_started_ms, "started_ms",
 		    (json_int_t)fa->target.last_heartbeat.started_ms);
 	}
-	if (r->fate == SNAPSHOT_LOST)
+	if (r->fate == SNAPSHOT_LOST) {
 		reset_next(fa);
-	else
-		snapshot_clear(&r->stored);
+		return;
+	}
+	if (r->fate == SNAPSHOT_HELD)
+		adopt_flows(fa, now);
+	snapshot_clear(&r->stored);
 }
 
 void
--- a/src/flow/snapshot.h
+++ b/src/flow/snapshot.h
@@ -5,7 +5,8 @@
  * both the agent and its target have lost the flows, but the callers have not
  * noticed. If the target is a later incarnation than the one in the snapshot,
  * the agent resets these flows, so that their callers open new ones instead of
- * sending their next request into nothing.
+ * sending their next request into nothing. If the target still runs, the agent
+ * adds the flows to its table.
  *
  * A snapshot never lists a flow under an incarnation before the one that holds
  * it. It therefore stays correct however old it is: a flow in it is lost as
@@ -46,7 +47,7 @@
 enum snapshot_fate {
 	SNAPSHOT_UNDECIDED, /**< the target has not shown which incarnation
 			       runs */
-	SNAPSHOT_HELD,	    /**< the target still runs */
+	SNAPSHOT_HELD,	    /**< the target still runs; some may have ended */
 	SNAPSHOT_LOST,	    /**< a later incarnation runs, or none */
 	SNAPSHOT_UNKNOWN,   /**< it cannot be told */
 };
--- a/src/flow/table.c
+++ b/src/flow/table.c
@@ -199,6 +199,25 @@
 	return f;
 }
 
+bool
+table_adopt(struct flow_table *t, const struct flow_key *flow,
+    uint32_t caller_ack, uint64_t now)
+{
+	struct flow_entry *f;
+	bool evicted;
+
+	if (table_find(t, flow) != NULL || HASH_COUNT(t->table) >= t->capacity)
+		return false;
+	f = table_upsert(t, flow, ENTRY_OPEN, now, &evicted);
+	f->adopted = true;
+	f->state_since_ns = 0; /* before all heartbeats of the target */
+	f->caller_ack = caller_ack;
+	table_record_seq(f, caller_ack);
+	f->stored = true;
+	f->stored_ack = caller_ack;
+	return true;
+}
+
 static uint64_t
 idle_timeout_ms(const struct flow_entry *f, uint64_t idle_ms)
 {
@@ -249,6 +268,12 @@
 	return f->caller_ack != 0 ? f->caller_ack : f->target_seq;
 }
 
+bool
+table_is_outdated(const struct flow_entry *f, uint32_t ack)
+{
+	return f->adopted && !table_ack_matches(f, ack);
+}
+
 bool
 table_ack_matches(const struct flow_entry *f, uint32_t ack)
 {
--- a/src/flow/table.h
+++ b/src/flow/table.h
@@ -53,6 +53,8 @@
 	uint32_t stored_ack;   /**< the acknowledgement number in it */
 	bool unconfirmed;      /**< may belong to a previous incarnation of the
 				  target, until the target sends a packet of it */
+	bool adopted; /**< from an earlier process's snapshot; may have ended
+			 since, until the target sends a packet of it */
 	UT_hash_handle hh;
 };
 
@@ -86,6 +88,12 @@
 struct flow_entry *table_upsert(struct flow_table *t,
     const struct flow_key *flow, enum entry_state state, uint64_t now,
     bool *evicted);
+/**
+ * Add an open flow that the target held when a snapshot was taken.
+ * @return false if there is an entry of its key, or no room
+ */
+bool table_adopt(struct flow_table *t, const struct flow_key *flow,
+    uint32_t caller_ack, uint64_t now);
 /** Set the state of a flow, and update the table's counts. */
 void table_set_state(struct flow_table *t, struct flow_entry *f,
     enum entry_state state, uint64_t now);
@@ -128,5 +136,8 @@
  * openings of the same flow key.
  */
 bool table_ack_matches(const struct flow_entry *f, uint32_t ack);
+/** Whether an adopted flow's number tells nothing about a packet with another
+ * one: the caller may have gone on since the snapshot. */
+bool table_is_outdated(const struct flow_entry *f, uint32_t ack);
 
 #endif
