tests/flows: with faults, a reset after a loss of power may be missing

It was checked by the flow's age, which is exact in the mode power: there nothing happens before the loss.

With faults, the flow now has to be in the agent's record in the store when power is lost, the agent must run undisturbed, and it must not have sent a reset.

--- a/tests/flows/callers.c
+++ b/tests/flows/callers.c
@@ -1,3 +1,4 @@
+#include "codec/snapshot_wire.h"
 #include "endpoints.h"
 
 #include <stdio.h>
@@ -151,6 +152,8 @@
 	    c->high ? priority_address(c->service)
 		    : service_address(c->service)};
 	c->state = OPENING;
+	c->recorded = false;
+	c->reset_sent = false;
 	c->retransmissions = 0;
 	c->requests_left = 1;
 	if (!is_single(c))
@@ -163,12 +166,55 @@
 	set_timer(who, 200);
 }
 
+static bool
+is_recorded(const struct sim_caller *c)
+{
+	const struct node *n = &sim.nodes[c->target];
+	struct snapshot s;
+	bool found = false;
+
+	if (c->state < OPEN || n->record == NULL ||
+	    !snapshot_wire_decode(
+		(struct str){(char *)n->record, n->record_len}, &s))
+		return false;
+	for (size_t i = 0; i < s.count; i++)
+		found |= flow_eq(&s.flows[i].flow, &c->flow);
+	snapshot_clear(&s);
+	return found;
+}
+
+void
+callers_note_recorded(void)
+{
+	for (unsigned i = 0; i < sim.options.callers; i++)
+		callers[i].recorded = is_recorded(&callers[i]);
+}
+
+void
+callers_note_reset(const struct flow_key *flow)
+{
+	struct sim_caller *c = get_caller(flow);
+
+	c->reset_sent |= flow_eq(&c->flow, flow);
+}
+
+/* Whether faults explain that a caller has not received a reset: with them, a
+ * flow of any age may be in no snapshot, since the store was away or the agent
+ * killed, and the link may have lost the reset. */
+static bool
+may_miss_reset(const struct sim_caller *c)
+{
+	return sim.options.faults &&
+	       (!c->recorded || c->reset_sent ||
+		   !node_is_stable(&sim.nodes[c->target], ENDPOINTS_STABLE_MS));
+}
+
 /* Check that a caller does not send a request in a flow that was lost with its
  * target long ago. */
 static void
 check_lost_flow(unsigned who, const struct sim_caller *c)
 {
-	if (sim.power_lost_ns == 0 || c->state != OPEN ||
+	if (sim.power_lost_ns == 0 || c->state != OPEN || may_miss_reset(c) ||
 	    c->opened_ns + SNAPSHOT_AGE_MS * NS_PER_MS > sim.power_lost_ns ||
 	    sim.now < sim.power_back_ns + LOST_FLOW_RESET_MS * NS_PER_MS ||
 	    sim.now < sim.store_down_until_ns + LOST_FLOW_RESET_MS * NS_PER_MS)
--- a/tests/flows/endpoints.h
+++ b/tests/flows/endpoints.h
@@ -83,6 +83,9 @@
 	uint64_t first_try_ns; /**< single requests: start of the first try */
 	unsigned retries;      /**< tries after the first */
 	bool high;	       /**< mode "priorities": see there */
+	bool recorded;	       /**< its flow was in the store at the latest loss
+				  of power */
+	bool reset_sent;       /**< an agent has sent a reset of its flow */
 	bool counted;	       /**< it began while overload is measured */
 	struct load_result *load; /**< where it counts, or NULL */
 	uint16_t port;
--- a/tests/flows/faults.c
+++ b/tests/flows/faults.c
@@ -101,6 +101,7 @@
 void
 fault_power_loss(uint64_t down_ns)
 {
+	callers_note_recorded();
 	sim.power_lost_ns = sim.now;
 	sim.power_back_ns = sim.now + down_ns + POWER_START_MS * NS_PER_MS;
 	sim.last_fault_ns = sim.power_back_ns;
--- a/tests/flows/nodes.c
+++ b/tests/flows/nodes.c
@@ -180,6 +180,8 @@
 
 	if (sim.options.load.enabled && !n->is_agent)
 		record_refusal();
+	if (n->is_agent)
+		callers_note_reset(flow);
 	/* The sender is recorded for the check of INV_RESET. */
 	p.request = (uint64_t)(n - sim.nodes) + 1;
 	send_over_link(n->domain, who % sim.options.domains, EV_TO_CALLER, who,
--- a/tests/flows/simulation.h
+++ b/tests/flows/simulation.h
@@ -329,6 +329,10 @@
 void caller_handle_packet(unsigned who, const struct packet *p);
 /** Continue a caller's state machine, unless the timer is outdated. */
 void caller_handle_timer(unsigned who, uint64_t timer);
+/** Note which callers' flows are in the snapshots in the store. */
+void callers_note_recorded(void);
+/** Note that an agent resets a flow; the link may lose the packet. */
+void callers_note_reset(const struct flow_key *flow);
 /** Print the totals of all callers. */
 void endpoints_print(void);
 /** How the requests that began in a phase ended, see begin_overload(). */
