flow/table: an opening with the key of an adopted flow begins a new one

A copy that arrives first, from a port that is used again, was passed to the target without the new flow being recorded: the target's refusal was not passed on.

--- a/src/flow/snapshot.h
+++ b/src/flow/snapshot.h
@@ -47,7 +47,8 @@
 enum snapshot_fate {
 	SNAPSHOT_UNDECIDED, /**< the target has not shown which incarnation
 			       runs */
-	SNAPSHOT_HELD,	    /**< the target still runs; some may have ended */
+	SNAPSHOT_HELD,	    /**< the target still runs; it holds those that
+			       have not ended since */
 	SNAPSHOT_LOST,	    /**< a later incarnation runs, or none */
 	SNAPSHOT_UNKNOWN,   /**< it cannot be told */
 };
--- a/src/flow/table.c
+++ b/src/flow/table.c
@@ -151,7 +151,8 @@
 bool
 table_begins_flow(const struct flow_entry *f, const struct flow_packet *p)
 {
-	if (f == NULL || f->state == ENTRY_CLOSED || f->state == ENTRY_PROBED)
+	if (f == NULL || f->adopted || f->state == ENTRY_CLOSED ||
+	    f->state == ENTRY_PROBED)
 		return true;
 	/* Of a flow whose opening was not seen, any copy may be one of it. */
 	return f->opening_seq_valid ? f->opening_seq != p->seq : p->copy == 0;
