tests/unit: wait for effects of foreign objects, not for a fixed time

test_foreign_objects and test_own_entry_unreadable waited 0.3 and 1 s, which a busy machine may exceed.

--- a/tests/unit/store_test.c
+++ b/tests/unit/store_test.c
@@ -51,7 +51,7 @@
 	bool foreign_objects; /* unreadable ones among the others */
 	unsigned lists;
 	unsigned posts;
-	unsigned puts;
+	uint64_t puts;
 	unsigned records;
 	unsigned copies; /* reads of the configuration of a process */
 } stand_in;
@@ -63,8 +63,8 @@
 	unsigned calls; /* of the stand-in, at the latest of them */
 	unsigned holds;
 	unsigned members; /* pages of entries */
-	unsigned entries; /* in the latest page */
-	unsigned evacuated;
+	uint64_t entries; /* in the latest page */
+	uint64_t evacuated;
 	unsigned records;
 	size_t record_len;
 } seen;
@@ -259,7 +259,7 @@
 {
 	(void)ctx;
 	seen.members++;
-	seen.entries = (unsigned)list->count;
+	seen.entries = list->count;
 }
 
 static void
@@ -481,10 +481,11 @@
 	open_store();
 	stand_in.foreign_objects = true;
 	store_list_members(store);
+	run_until(&seen.entries, 2, TEST_TIMEOUT_MS);
+	assert_int_equal(seen.entries, 2);
 	store_watch_evacuations(store, true);
-	run_for(300);
+	run_until(&seen.evacuated, 3, TEST_TIMEOUT_MS);
 	store_watch_evacuations(store, false);
-	assert_int_equal(seen.entries, 2);
 	assert_int_equal(seen.evacuated, 3);
 	store_watch_config(store, true);
 	run_until(&seen.version, 1, TEST_TIMEOUT_MS);
@@ -509,7 +510,8 @@
 	(void)state;
 	open_store();
 	store_announce(store, &self, "east");
-	run_for(1000);
+	run_until(&stand_in.puts, 1, TEST_TIMEOUT_MS);
+	run_for(400); /* longer than the pause before a further try */
 	assert_int_equal(stand_in.posts, 1);
 	assert_int_equal(stand_in.puts, 1);
 	close_store();
