--- a/src/base/lenient_json.c
+++ b/src/base/lenient_json.c
@@ -1,7 +1,5 @@
 #include "base/lenient_json.h"
 
-#include <string.h>
-
 /** Levels of arrays and objects whose elements are decoded one by one: enough
  * for a field in a list within an object of a list. */
 #define LEVELS_MAX 8
@@ -17,7 +15,8 @@
 static const char *
 skip_space(const char *p, const char *end)
 {
-	while (p != end && memchr(" \t\r\n", *p, 4) != NULL)
+	while (
+	    p != end && (*p == ' ' || *p == '\t' || *p == '\r' || *p == '\n'))
 		p++;
 	return p;
 }
@@ -51,7 +50,8 @@
 				return NULL;
 		} else if (*p == '[' || *p == '{') {
 			depth++;
-		} else if (depth == 0 && memchr(",]}", *p, 3) != NULL) {
+		} else if (depth == 0 &&
+			   (*p == ',' || *p == ']' || *p == '}')) {
 			return p;
 		} else if (*p == ']' || *p == '}') {
 			depth--;
