--- a/tests/unit/script_request_balancer.c
+++ b/tests/unit/script_request_balancer.c
@@ -6,6 +6,9 @@
 #include <stdio.h>
 #include <string.h>
 
+/** Longest name of a service in a script, with its NUL; see the formats. */
+#define SERVICE_MAX 64
+
 static struct balancer *balancer;
 static struct counters counters;
 static struct rng balancer_rng;
@@ -63,7 +66,7 @@
 	struct member *record = &m.u.records.records[0];
 	unsigned n = 0;
 	unsigned incarnation = 0;
-	char service[CFG_NAME_MAX];
+	char service[SERVICE_MAX];
 
 	(void)body;
 	sscanf(arg, "%u %63s %u", &n, service, &incarnation);
@@ -86,7 +89,7 @@
 	struct msg m = {.kind = MSG_HINT, .from = 2};
 	unsigned caller = 0;
 	unsigned n = 0;
-	char service[CFG_NAME_MAX];
+	char service[SERVICE_MAX];
 
 	(void)body;
 	sscanf(arg, "%u %63s %u", &caller, service, &n);
@@ -100,7 +103,7 @@
 do_datagram(const char *arg, const char *body)
 {
 	unsigned caller = 0;
-	char service[CFG_NAME_MAX];
+	char service[SERVICE_MAX];
 	struct flow_key flow;
 
 	(void)body;
