--- /dev/null
+++ b/review/6/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# All balancers are replaced by others at new addresses: see claim.txt.
+# 0: the rule held, 1: it was broken, 2: the case could not run. TROUBLE=0:
+# the balancers stay.
+cd "$(dirname "$0")" || exit 2
+exec python3 -B case.py
