--- /dev/null
+++ b/review/8/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# The settings files change: flow_ttl_s is a fraction; see claim.txt.
+# 0: the rule held, 1: it was broken, 2: the case could not run. TROUBLE=0: the
+# same change to a whole number.
+cd "$(dirname "$0")" || exit 2
+exec python3 -B case.py
