--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -2,5 +2,6 @@
 # All balancers are replaced by others at new addresses: see claim.txt.
 # 0: the rule held, 1: it was broken, 2: the case could not run. TROUBLE=0:
 # the balancers stay.
+# What was sent, answered and run is written to record.txt.
 cd "$(dirname "$0")" || exit 2
-exec python3 -B case.py
+exec python3 -B case.py record.txt
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,9 +9,9 @@
 from lab import TROUBLE, CannotRun, Endpoint, configuration, route, run_case  # noqa: E402
 
 APPLY_S = 3.0           # config_apply_ms of the small deployments
-TICKETS = ("198.18.0.1", 8443)
-DROPPED = ("198.18.0.1", 8080)
-ADDED = ("198.18.0.2", 8443)
+TICKETS = ("127.198.18.1", 8443)
+DROPPED = ("127.198.18.1", 8080)
+ADDED = ("127.198.18.2", 8443)
 SPLIT = 9 if TROUBLE else 8
 
 
--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -13,6 +13,7 @@
 import signal
 import socket
 import struct
+import sys
 import tempfile
 import time
 import zlib
@@ -410,7 +411,8 @@
 
 class Lab:
     def __init__(self, case_dir):
-        self.record = open(os.path.join(case_dir, "record.txt"), "w")
+        name = sys.argv[1] if len(sys.argv) > 1 else "record.txt"
+        self.record = open(os.path.join(case_dir, name), "w")
         self.began = time.monotonic()
         self.dir = tempfile.mkdtemp(prefix="persimmonwinch-review-")
         self.processes = {}
