flow/coverage: balancers that are new together prove nothing to each other

Cause: a balancer took it for proof of knowing all agents that all live balancers had the same ones, that two heartbeat periods had passed while none claimed to know all, or that 5 s had passed since its start. Balancers that start together know the same few agents: those that have found them. An agent looks into the store 5 s after a balancer's last answer, and again 5 s later when the list was out of date.

Change: what proves completeness is a module of its own, coverage.c: the list of a balancer that knows all agents; an earlier process at the same address that all agents knew, as its entry in the store says, and two heartbeat periods; or the longest time in which every agent finds a balancer whose entry is in the store (isolation.c, 12 s with up to 66 balancers). The time begins anew when the store does not answer. Isolated agents look into the store every 1.5 s. Delegates of a failure domain, and the proof for agents of other failure domains, follow the same rule.

Script flow-coverage failed before.

--- a/scripts/faultsoak.sh
+++ b/scripts/faultsoak.sh
@@ -9,6 +9,7 @@
 net=$((84 + seed % 40))
 balancers=$((procs / 4 > 1 ? procs / 4 : 2))
 targets=$((procs - balancers > 2 ? procs - balancers : 2))
+balancer_sets=4
 . scripts/hall.sh
 RANDOM=$seed
 faults=0
@@ -48,8 +49,8 @@
 }
 
 inject_random_fault() {
-	local b=$((RANDOM % balancers)) a=$((RANDOM % targets))
-	case $((RANDOM % 9)) in
+	local b=$((first_balancer + RANDOM % balancers)) a=$((RANDOM % targets))
+	case $((RANDOM % 10)) in
 	0) restart flow_balancer $b KILL ;;
 	1) restart flow_balancer $b TERM ;;
 	2) freeze b$b ;;
@@ -59,6 +60,7 @@
 	6) had_recent_fault "t$a" || { fault "leave $a" && hall leave $a; } ;;
 	7) had_recent_fault "t$a" || { fault "crash $a" && hall crash $a; } ;;
 	8) fault change && hall change && { hall away; sleep 0.3; hall back; } ;;
+	9) had_recent_fault all || { replace_balancers && fault replace; } ;;
 	esac
 }
 
--- a/scripts/hall.sh
+++ b/scripts/hall.sh
@@ -1,9 +1,13 @@
 # Functions that run the flow balancers and agents on loopback addresses,
 # together with standin-hall, which plays the store, targets, routers and
-# callers. Set net, balancers and targets before sourcing this file.
+# callers. Set net, balancers and targets before sourcing this file, and
+# balancer_sets if balancers are replaced by others at new addresses.
 # shellcheck shell=bash
 . scripts/lab.sh
 
+# The balancers that run are those from this one on.
+first_balancer=0
+
 flow_seeds() {
 	echo "[\"127.$net.1.1:7700\", \"127.$net.1.2:7700\"]"
 }
@@ -35,7 +39,8 @@
 hall_begin() { # CALLERS SEED
 	lab_begin
 	mkfifo "$lab/hall.in"
-	"$build/tests/standin-hall" "$net" "$balancers" "$targets" "$1" "$2" \
+	"$build/tests/standin-hall" "$net" \
+	    $((balancers * ${balancer_sets:-1})) "$targets" "$1" "$2" \
 	    <"$lab/hall.in" >"$lab/hall.out" 2>"$lab/hall.err" &
 	pid_of[hall]=$!
 	pids+=("$!")
@@ -78,11 +83,30 @@
 hall_versions() {
 	local n
 	for ((n = 0; n < balancers; n++)); do
-		curl -s -m 2 "http://127.$net.1.$((n + 1)):7700/metrics" |
+		curl -s -m 2 \
+		    "http://127.$net.1.$((first_balancer + n + 1)):7700/metrics" |
 		    sed -n 's/^pw_version //p'
 	done
 }
 
+# Stop all balancers as planned work, and start as many others, at addresses
+# that no process knows, when they have ended. Fails if no addresses are left.
+replace_balancers() {
+	local n old=()
+	[ $((first_balancer + balancers)) -lt \
+	    $((balancers * ${balancer_sets:-1})) ] || return 1
+	for ((n = first_balancer; n < first_balancer + balancers; n++)); do
+		kill -CONT "${pid_of[b$n]}" 2>/dev/null
+		kill -TERM "${pid_of[b$n]}" 2>/dev/null
+		old+=("${pid_of[b$n]}")
+	done
+	wait "${old[@]}" 2>/dev/null
+	first_balancer=$((first_balancer + balancers))
+	for ((n = first_balancer; n < first_balancer + balancers; n++)); do
+		flow_balancer $n
+	done
+}
+
 hall_has_version_everywhere() {
 	[ "$(hall_versions | grep -c "^$(hall_field version)\$")" = "$balancers" ]
 }
--- a/src/flow/agent_control.c
+++ b/src/flow/agent_control.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/event.h"
+#include "flow/isolation.h"
 
 /** Openings that the target has not answered within this, in ms, are refused: a
  * target answers in less than a millisecond. */
@@ -45,12 +46,8 @@
 #define LEAVE_TIMEOUT_MS 1500
 /** Rounds of heartbeats sent at once after a change of state. */
 #define STATE_CHANGE_ROUNDS 2
-/** Period of requests for a list of balancers, in ms, or the amount for each
- * balancer if that is more: several requests before a balancer that is not
- * refreshed expires, peers_forget_ms(). */
-#define LIST_QUERY_MS 4000
-#define LIST_QUERY_PER_PEER_MS 60
-/** The same until a balancer confirms that the list is complete, in ms. */
+/** Period of requests for a list of balancers until one confirms that the list
+ * is complete, in ms; then isolation_list_period_ms(). */
 #define LIST_QUERY_STARTUP_MS 1000
 /** Period in which idle flows are removed, in ms. */
 #define EXPIRE_INTERVAL_MS 1000
@@ -368,12 +365,9 @@
 uint64_t
 fa_list_query_period_ms(const struct fa *fa)
 {
-	uint64_t ms =
-	    LIST_QUERY_PER_PEER_MS * (uint64_t)peers_count(&fa->peers);
-
-	if (!fa->balancers_complete)
-		return LIST_QUERY_STARTUP_MS;
-	return ms > LIST_QUERY_MS ? ms : LIST_QUERY_MS;
+	return fa->balancers_complete
+		   ? isolation_list_period_ms(peers_count(&fa->peers))
+		   : LIST_QUERY_STARTUP_MS;
 }
 
 static void
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -30,6 +30,7 @@
 	domain_share_init(&fb->domain_share, fb->peers.domain_tag,
 	    setup->remote_byte_price, now);
 	fb->started_ns = now;
+	coverage_init(&fb->coverage, now);
 	fb->last_tick_ns = now;
 	fb->silence_valid_ns = now;
 	rng_init(&fb->rng, setup->seed);
--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -13,6 +13,7 @@
 #include "base/rng.h"
 #include "decide/hints.h"
 #include "flow/admission.h"
+#include "flow/coverage.h"
 #include "flow/domain_share.h"
 #include "flow/evacuation.h"
 #include "flow/openings.h"
@@ -129,6 +130,7 @@
 	struct round_robin local_round;	 /**< receivers in the own domain */
 	struct round_robin remote_round; /**< receivers in other domains */
 	struct recent_agents recent;
+	struct coverage coverage;
 	struct domain_share domain_share;
 	struct evacuation evacuation;
 	struct evacuation_budget evacuation_budget;
@@ -211,6 +213,18 @@
  * once.
  */
 void fb_set_watch_ok(struct fb *fb, bool ok, uint64_t now);
+/**
+ * Record that this balancer's entry is in the store.
+ * @param was_established an earlier process at this address had left it there
+ * as established, see fb_is_established()
+ */
+void fb_set_listed(struct fb *fb, bool was_established, uint64_t now);
+/** Whether to list the balancers' entries in the store, to find others. */
+bool fb_should_list_entries(struct fb *fb, uint64_t now);
+/** Record the number of entries in a page of the list in the store. */
+void fb_count_entries(struct fb *fb, size_t count);
+/** Whether this balancer knows all agents, and all agents know its address. */
+bool fb_is_established(const struct fb *fb, uint64_t now);
 /** Send a heartbeat to a balancer named by the store, if it is not known. */
 void fb_contact_balancer(struct fb *fb, uint64_t id, uint64_t now);
 /** Whether a balancer was not seen for peers_forget_ms(). */
--- a/src/flow/balancer_config.c
+++ b/src/flow/balancer_config.c
@@ -201,6 +201,7 @@
 {
 	struct config_watch *w = &fb->watch;
 
+	coverage_on_watch(&fb->coverage, ok, now);
 	if (!ok && w->standby) {
 		w->standby = false;
 		w->begin_ns =
--- a/src/flow/balancer_coverage.c
+++ b/src/flow/balancer_coverage.c
@@ -7,9 +7,6 @@
  * period in the own failure domain: each agent has had time to send a heartbeat
  * then. */
 #define WARM_MARGIN_MS 150
-/** Time after the start, in ms, by which an agent that restarted together with
- * this balancer is known. */
-#define RESTART_COVERED_MS 5000
 /** With at least this many other live balancers in the own failure domain,
  * balancers compare and exchange only the agents of their failure
  * domain; with fewer, the agents of all failure domains. */
@@ -59,7 +56,6 @@
  * fb_has_local_scope(). */
 struct comparison {
 	size_t compared; /**< live balancers */
-	size_t missing;	 /**< of them, those whose list is incomplete here */
 	size_t more;	 /**< of them, those that have more recent agents */
 	size_t complete; /**< of them, those that know all agents now */
 	size_t received_complete; /**< of them, those that were complete when
@@ -84,7 +80,6 @@
 		    (local && !peers_is_local(&fb->peers, e)))
 			continue;
 		c.compared++;
-		c.missing += set->received == 0 || set->received < set->count;
 		c.more += set->count > c.known;
 		c.complete += e->agents_complete;
 		c.received_complete += set->was_complete;
@@ -100,24 +95,19 @@
 	return c.compared > 0 && c.more == 0 && c.known > 0;
 }
 
-/*
- * All agents are known once the list of a balancer that knows them all, or the
- * lists of all live balancers, have been received. When no live balancer
- * knows them all yet, because all have started recently, two heartbeat periods
- * of the agents are enough, unless another balancer has more agents.
- */
 static bool
 is_coverage_complete(
     const struct fb *fb, const struct comparison *c, uint64_t now)
 {
-	if (c->compared > 0 && (c->received_complete > 0 || c->missing == 0))
-		return true;
-	if (c->more > 0)
-		return false;
-	if (c->compared > 0 && c->complete == 0 && fb->first_agent_ns != 0 &&
-	    fb_has_elapsed(fb->first_agent_ns, 2 * fb->min_heartbeat_ms, now))
-		return true;
-	return fb_has_elapsed(fb->started_ns, RESTART_COVERED_MS, now);
+	const struct coverage_evidence e = {.has_peers = c->compared > 0,
+	    .has_list_of_complete = c->received_complete > 0,
+	    .peer_is_complete = c->complete > 0,
+	    .peer_has_more = c->more > 0,
+	    .first_agent_ns = fb->first_agent_ns,
+	    .agent_period_ms = fb->min_heartbeat_ms,
+	    .balancers = peers_count(&fb->peers)};
+
+	return coverage_is_complete(&fb->coverage, &e, now);
 }
 
 /*
@@ -137,10 +127,10 @@
 	fb->remote_agents_complete =
 	    fb->agents_complete && !fb_has_local_scope(fb, now);
 	if (fb->agents_complete)
-		event("agents_complete", "s:i, s:i, s:i, s:I", "agents",
+		event("agents_complete", "s:i, s:i, s:i, s:b, s:I", "agents",
 		    (int)c.known, "peers_compared", (int)c.compared,
-		    "peers_complete", (int)c.received_complete,
-		    "since_start_ms",
+		    "peers_complete", (int)c.received_complete, "known_before",
+		    (int)fb->coverage.known_before, "since_start_ms",
 		    (json_int_t)((now - fb->started_ns) / NS_PER_MS));
 	return fb->agents_complete;
 }
@@ -201,12 +191,41 @@
 static enum uncertainty
 remote_uncertainty(const struct fb *fb, uint64_t now)
 {
-	return fb->remote_agents_complete ||
-		       fb_has_elapsed(fb->started_ns, RESTART_COVERED_MS, now)
+	return fb->remote_agents_complete || coverage_has_remote(&fb->coverage,
+						 peers_count(&fb->peers), now)
 		   ? UNCERTAINTY_NONE
 		   : UNCERTAINTY_REMOTE;
 }
 
+void
+fb_set_listed(struct fb *fb, bool was_established, uint64_t now)
+{
+	coverage_on_entry(&fb->coverage, was_established, now);
+}
+
+bool
+fb_should_list_entries(struct fb *fb, uint64_t now)
+{
+	return coverage_should_list(&fb->coverage,
+	    peers_count(&fb->peers) == 0 || fb->first_agent_ns == 0,
+	    fb->agents_complete, now);
+}
+
+void
+fb_count_entries(struct fb *fb, size_t count)
+{
+	if (!fb->agents_complete)
+		coverage_on_entries(&fb->coverage, count);
+}
+
+bool
+fb_is_established(const struct fb *fb, uint64_t now)
+{
+	return fb->agents_complete &&
+	       (fb->coverage.known_before || coverage_is_findable(&fb->coverage,
+						 peers_count(&fb->peers), now));
+}
+
 void
 fb_tick_coverage(struct fb *fb, uint64_t now)
 {
--- /dev/null
+++ b/src/flow/coverage.h
@@ -0,0 +1,83 @@
+/**
+ * @file coverage.h
+ * When a balancer knows all agents that run. Only then may it reset a flow that
+ * none of its agents holds.
+ *
+ * Balancers that have started recently prove nothing to each other: if all of
+ * them are new, as when the earlier ones were replaced, each knows only those
+ * agents that have found it. There are three proofs: the list of a balancer
+ * that knows all agents; an earlier process at this balancer's address that was
+ * known to all agents, which therefore still send heartbeats there; and the
+ * time in which every agent finds a balancer whose entry is in the store.
+ */
+#ifndef PW_FLOW_COVERAGE_H
+#define PW_FLOW_COVERAGE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/** Since when agents can find this balancer. */
+struct coverage {
+	uint64_t started_ns;
+	uint64_t findable_ns; /**< since when its entry is in the store, or
+				 when the store last answered again after
+				 that; 0 for never */
+	bool watch_failed;    /**< the store does not answer this balancer */
+	bool known_before;    /**< all agents knew an earlier process at this
+				 address */
+	size_t entries;	      /**< entries of balancers in the store */
+	size_t listed;	      /**< those in the present list so far */
+	unsigned lists;	      /**< how often they were listed */
+};
+
+/** What a balancer has heard of the agents that it compares with others. */
+struct coverage_evidence {
+	bool has_peers;		   /**< there are live balancers */
+	bool has_list_of_complete; /**< the list of one that knew all agents was
+				      received */
+	bool peer_is_complete;	   /**< one of them knows all agents */
+	bool peer_has_more;	   /**< one of them has more recent agents */
+	uint64_t first_agent_ns;   /**< first heartbeat of an agent; 0: none */
+	uint64_t agent_period_ms;  /**< shortest period of their heartbeats */
+	size_t balancers;	   /**< others that it knows */
+};
+
+/** Initialize at the start of the process. */
+void coverage_init(struct coverage *c, uint64_t now);
+/**
+ * Record that the own entry is in the store.
+ * @param was_established the entry was there before, and stated that an earlier
+ * process was known to all agents
+ */
+void coverage_on_entry(struct coverage *c, bool was_established, uint64_t now);
+/**
+ * Whether to list the balancers' entries in the store now; the list is recorded
+ * as begun. They are listed if no other process has been found soon after the
+ * start, and once more when a list can no longer lack the entries of balancers
+ * that started at the same time.
+ * @param alone no other balancer or no agent is known
+ * @param complete all agents are known
+ */
+bool coverage_should_list(
+    struct coverage *c, bool alone, bool complete, uint64_t now);
+/** Record the number of entries in a page of the list. */
+void coverage_on_entries(struct coverage *c, size_t count);
+/** Record whether the store answers this balancer. */
+void coverage_on_watch(struct coverage *c, bool ok, uint64_t now);
+/**
+ * Whether every agent that can reach the store has had the time to find this
+ * balancer.
+ * @param balancers others that it knows
+ */
+bool coverage_is_findable(
+    const struct coverage *c, size_t balancers, uint64_t now);
+/** Whether agents that this balancer does not compare with others, those of
+ * other failure domains, have sent it a heartbeat. */
+bool coverage_has_remote(
+    const struct coverage *c, size_t balancers, uint64_t now);
+/** Whether all agents that ran when this balancer started are known. */
+bool coverage_is_complete(
+    const struct coverage *c, const struct coverage_evidence *e, uint64_t now);
+
+#endif
--- a/src/flow/platform_ops.h
+++ b/src/flow/platform_ops.h
@@ -22,6 +22,7 @@
 	char name[FLOW_NAME_MAX];
 	uint64_t id; /**< addr_pack() of its control address */
 	uint64_t revision;
+	bool established; /**< all agents know this address */
 };
 
 /** One page of the list of balancers' entries. */
--- a/src/task/flow_agent_task.c
+++ b/src/task/flow_agent_task.c
@@ -4,6 +4,7 @@
 #include "base/event.h"
 #include "codec/snapshot_wire.h"
 #include "flow/agent.h"
+#include "flow/isolation.h"
 #include "task/config_fetch.h"
 #include "task/flow_node.h"
 #include "task/target_check.h"
@@ -12,17 +13,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/** Time in ms without a message from any balancer after the start until the
- * balancers' entries are read from the store. Seeds that start at the same
- * time answer within a fraction of a second. */
-#define STORE_FALLBACK_MS 200
-/** Time in ms between two such reads while no balancer has ever answered. */
-#define STORE_FALLBACK_RETRY_MS 700
-/** Time in ms, added to fa_list_query_period_ms(), without a message from any
- * balancer until the entries are read again. One request for a list is sent in
- * that time. */
-#define BALANCERS_SILENT_MS 1000
-
 struct task_state {
 	struct flow_node node;
 	struct fa fa;
@@ -32,9 +22,7 @@
 	uv_timer_t release_timer;   /**< delivers held requests in time */
 	uint64_t release_ns;	    /**< when it is due; UINT64_MAX: not set */
 	struct web target_web; /**< HTTP server for the target's heartbeats */
-	uint64_t list_requested_ns; /**< entries last requested, or start */
-	bool list_requested;	    /**< entries have been requested once */
-	uint64_t last_message_ns;   /**< last message from a balancer */
+	struct isolation isolation;
 	struct config_fetch config_fetch;
 	uint8_t *routes; /**< encoded copy for balancers; NULL for none */
 	size_t routes_len;
@@ -302,24 +290,6 @@
 		fa_contact_balancer(&t->fa, list->items[i].id, flow_node_now());
 }
 
-/* The seeds may be gone, so balancers are looked up in the store when none
- * sends messages. */
-static void
-list_members_if_isolated(struct task_state *t, uint64_t now)
-{
-	uint64_t again = fa_list_query_period_ms(&t->fa) + BALANCERS_SILENT_MS;
-	uint64_t first =
-	    t->list_requested ? STORE_FALLBACK_RETRY_MS : STORE_FALLBACK_MS;
-	uint64_t wait = t->last_message_ns == 0 ? first : again;
-
-	if (now < t->last_message_ns + again * NS_PER_MS ||
-	    now < t->list_requested_ns + wait * NS_PER_MS)
-		return;
-	t->list_requested = true;
-	t->list_requested_ns = now;
-	store_list_members(t->store);
-}
-
 /* ---- time ---- */
 
 static void
@@ -327,7 +297,7 @@
 {
 	struct task_state *t = ctx;
 
-	t->last_message_ns = now;
+	t->isolation.last_message_ns = now;
 	fa_handle_message(&t->fa, m, now);
 	config_fetch_start(
 	    &t->config_fetch, fa_take_routes_source(&t->fa), now);
@@ -347,7 +317,9 @@
 	struct task_state *t = ctx;
 
 	fa_tick(&t->fa, now);
-	list_members_if_isolated(t, now);
+	if (isolation_should_look_up(
+		&t->isolation, fa_list_query_period_ms(&t->fa), now))
+		store_list_members(t->store);
 	if (fa_has_left(&t->fa, now))
 		sup_finish(&t->node.sup);
 }
@@ -405,8 +377,9 @@
 	st = flow_node_open(n, on_caller_packet);
 	if (st.code != STATUS_OK)
 		return st;
-	t->list_requested_ns = flow_node_now();
-	fa_init(&t->fa, &setup, &callbacks, t, &n->ctr, t->list_requested_ns);
+	t->isolation.started_ns = flow_node_now();
+	fa_init(
+	    &t->fa, &setup, &callbacks, t, &n->ctr, t->isolation.started_ns);
 	t->store = flow_node_store(n, &store_callbacks, t);
 	t->config_fetch = (struct config_fetch){.fetcher = n->fetcher,
 	    .ctr = &n->ctr,
--- a/src/task/flow_balancer_task.c
+++ b/src/task/flow_balancer_task.c
@@ -17,10 +17,6 @@
 #define DRAIN_QUIET_MS 1200
 /** Period in ms of removing the entries of dead balancers from the store. */
 #define REMOVE_DEAD_MS 60000
-/** Time in ms after the start until the balancers' entries are read from the
- * store if no other balancer or no agent has been found. Seeds that start at
- * the same time are found within a fraction of a second. */
-#define STORE_FALLBACK_MS 200
 
 struct task_state {
 	struct flow_node node;
@@ -34,7 +30,7 @@
 	uint64_t removed_dead_ns;
 	uint64_t start_ns;
 	bool ready;
-	bool list_requested;
+	struct balancer_entry entry; /**< own entry in the store */
 };
 
 /* ---- packets ---- */
@@ -147,12 +143,34 @@
 
 /* ---- members ---- */
 
+static void
+on_announced(void *ctx, bool was_established)
+{
+	struct task_state *t = ctx;
+
+	t->entry.established |= was_established;
+	fb_set_listed(&t->fb, was_established, flow_node_now());
+}
+
+/* A later process at this address needs no proof of its own. */
+static void
+announce_if_established(struct task_state *t, uint64_t now)
+{
+	if (t->entry.established || !fb_is_established(&t->fb, now))
+		return;
+	t->entry.established = true;
+	event(
+	    "established", "s:i", "balancers", (int)peers_count(&t->fb.peers));
+	store_announce(t->store, &t->entry, t->node.set.domain);
+}
+
 static void
 on_members(void *ctx, const struct balancer_entries *list)
 {
 	struct task_state *t = ctx;
 	uint64_t now = flow_node_now();
 
+	fb_count_entries(&t->fb, list->count);
 	for (size_t i = 0; i < list->count; i++) {
 		const struct balancer_entry *m = &list->items[i];
 
@@ -270,17 +288,6 @@
 	t->ready = ready;
 }
 
-static void
-list_members_if_isolated(struct task_state *t, uint64_t now)
-{
-	if (t->list_requested ||
-	    now < t->start_ns + STORE_FALLBACK_MS * NS_PER_MS)
-		return;
-	t->list_requested = true;
-	if (peers_count(&t->fb.peers) == 0 || t->fb.first_agent_ns == 0)
-		store_list_members(t->store);
-}
-
 static bool
 can_stop(const struct task_state *t, uint64_t now)
 {
@@ -302,7 +309,9 @@
 	store_watch_config(t->store, fb_should_query_store(&t->fb, now));
 	store_watch_evacuations(
 	    t->store, fb_should_watch_evacuations(&t->fb, now));
-	list_members_if_isolated(t, now);
+	if (fb_should_list_entries(&t->fb, now))
+		store_list_members(t->store);
+	announce_if_established(t, now);
 	remove_dead_members(t, now);
 	log_readiness(t, now);
 	if (can_stop(t, now))
@@ -330,6 +339,7 @@
 static const struct store_callbacks store_callbacks = {.config = on_config,
     .evacuations = on_evacuations,
     .watch_state = on_watch_state,
+    .announced = on_announced,
     .members = on_members};
 
 static struct status
@@ -349,7 +359,6 @@
 	    .evacuation_ms = n->set.evacuation_ms,
 	    .cold_limits = settings_limit_cold(&n->set),
 	    .remote_byte_price = n->set.remote_byte_price};
-	struct balancer_entry self_entry = {.id = n->id};
 
 	if (st.code != STATUS_OK)
 		return st;
@@ -360,8 +369,9 @@
 	    .ctr = &n->ctr,
 	    .read = on_config_fetched,
 	    .ctx = t};
-	str_copy(self_entry.name, sizeof(self_entry.name), str_of(n->set.name));
-	store_announce(t->store, &self_entry, n->set.domain);
+	t->entry.id = n->id;
+	str_copy(t->entry.name, sizeof(t->entry.name), str_of(n->set.name));
+	store_announce(t->store, &t->entry, n->set.domain);
 	return st;
 }
 
--- a/src/task/store.c
+++ b/src/task/store.c
@@ -194,8 +194,8 @@
 
 /*
  * An entry of this name exists, from an earlier run or left by another program.
- * It is replaced if its id differs; without a readable revision, whatever its
- * revision is.
+ * It is replaced if its id differs or it lacks that the address is established;
+ * without a readable revision, whatever its revision is.
  */
 static void
 replace_entry(struct operation *op, const struct fetch_result *r)
@@ -206,8 +206,12 @@
 
 	s->setup.platform_ops->read_entry(
 	    (struct str){r->body, r->len}, &existing);
-	if (existing.id == s->self.id)
+	if (existing.id == s->self.id &&
+	    (existing.established || !s->self.established)) {
+		s->entry_exists = true;
+		s->callbacks->announced(s->ctx, existing.established);
 		return;
+	}
 	event("own_entry_differs", "s:s, s:I, s:b", "name", s->self.name,
 	    "revision", (json_int_t)existing.revision, "malformed",
 	    (int)(existing.id == 0));
@@ -234,8 +238,11 @@
 		return;
 	}
 	op->pending = false;
-	if (r->status / 100 == 2)
+	if (r->status / 100 == 2) {
+		s->entry_exists = true;
+		s->callbacks->announced(s->ctx, false);
 		return;
+	}
 	if (r->status == 409) {
 		replace_entry(op, r);
 		return;
@@ -275,7 +282,7 @@
     struct store *s, const struct balancer_entry *self, const char *domain)
 {
 	s->self = *self;
-	s->entry_exists = self->revision != 0;
+	s->entry_exists |= self->revision != 0;
 	str_copy(s->domain, sizeof(s->domain), str_of(domain));
 	operation_schedule(&s->announce);
 }
--- a/src/task/store.h
+++ b/src/task/store.h
@@ -28,6 +28,12 @@
 	 * failure, but for a single one that may be an accident of one
 	 * connection. */
 	void (*watch_state)(void *ctx, bool ok);
+	/**
+	 * The entry of this process is in the store.
+	 * @param was_established an earlier process at the same address had
+	 * left it there as established
+	 */
+	void (*announced)(void *ctx, bool was_established);
 	/** One page of the balancers' entries was read. */
 	void (*members)(void *ctx, const struct balancer_entries *list);
 	/** The record was read; empty when there is none, or it is malformed.
--- a/tests/flows/callers.c
+++ b/tests/flows/callers.c
@@ -367,7 +367,8 @@
 }
 
 /* Handles a reset that a balancer or an agent sent. It is correct only for a
- * flow whose target has crashed or leaves. */
+ * flow whose target has crashed or leaves. Balancers that were started by
+ * planned work count at once. */
 static void
 handle_reset(unsigned who, const struct packet *p)
 {
@@ -388,7 +389,7 @@
 		check_invariant(INV_RESET,
 		    !t->alive || t->incarnation != c->incarnation ||
 			t->leaving ||
-			!node_is_stable(by, ENDPOINTS_STABLE_MS) ||
+			!node_is_undisturbed(by, ENDPOINTS_STABLE_MS) ||
 			!node_is_stable(
 			    &sim.nodes[c->target], ENDPOINTS_STABLE_MS),
 		    "caller %u, state %d, at the target of agent %u, was "
--- a/tests/flows/faults.c
+++ b/tests/flows/faults.c
@@ -5,10 +5,13 @@
 	RECOVERY_START_NODE,   /**< restart a process */
 	RECOVERY_START_TARGET, /**< restart a target */
 	RECOVERY_STOP_TARGET,  /**< stop a target whose drain time is over */
+	RECOVERY_REPLACE,      /**< stop a balancer, and start another one */
 };
 
 /** Time within which all processes start when the power is back, in ms. */
 #define POWER_START_MS 400
+/** Time for which a leaving balancer goes on forwarding, in ms. */
+#define LEAVE_MS 1200
 /** Time for which a leaving target continues to serve, in ms. */
 #define DRAIN_MS 3000
 
@@ -82,6 +85,22 @@
 	}
 }
 
+/* The balancers leave together, and the others start as they end. */
+void
+fault_replace_balancers(unsigned domain)
+{
+	for (unsigned i = 0; i < sim.options.balancers; i++) {
+		struct node *n = &sim.nodes[i];
+
+		if (!n->alive ||
+		    (domain != sim.options.domains && n->domain != domain))
+			continue;
+		fb_leave(&n->fb, sim.now);
+		schedule_event(LEAVE_MS * NS_PER_MS, EV_RECOVERY, i, 0,
+		    RECOVERY_REPLACE, NULL, 0);
+	}
+}
+
 void
 fault_kill_all(uint64_t down_ns)
 {
@@ -122,7 +141,7 @@
 
 	sim.fault_count++;
 	sim.loss_ppm = rng_chance(&sim.rng, 200000) ? 20000 : 500;
-	switch (rng_below(&sim.rng, 13)) {
+	switch (rng_below(&sim.rng, 14)) {
 	case 0:
 	case 1:
 		node_kill(random_balancer(), ns / 2);
@@ -158,6 +177,12 @@
 		evacuation_toggle(
 		    (unsigned)rng_below(&sim.rng, sim.options.domains));
 		break;
+	case 13:
+		/* More often, no new flow would be opened. */
+		if (rng_chance(&sim.rng, 200000))
+			fault_replace_balancers((unsigned)rng_below(
+			    &sim.rng, sim.options.domains + 1));
+		break;
 	case 10:
 		if (rng_chance(&sim.rng, 50000))
 			fault_power_loss(ns / 2);
@@ -184,6 +209,9 @@
 		if (!target_is_alive(who))
 			target_start(who);
 		break;
+	case RECOVERY_REPLACE:
+		node_replace(who, random_ns(0, 400));
+		break;
 	case RECOVERY_STOP_TARGET:
 		target_stop(who);
 		schedule_event(random_ns(300, 2000), EV_RECOVERY, who, 0,
--- a/tests/flows/nodes.c
+++ b/tests/flows/nodes.c
@@ -10,6 +10,7 @@
 
 /** Networks and ports of the addresses of nodes, targets and services. */
 #define NET_NODE 0x0a000000U
+#define NODES_MAX 65536U
 #define NET_SERVICE 0xc6120000U
 #define PORT_CONTROL 7700
 #define PORT_DATA 8172
@@ -31,16 +32,18 @@
 
 const char *const domains[] = {"d0", "d1", "d2", "d3", "d4", "d5", "d6", "d7"};
 
-static uint64_t
+/* Addresses that a node has left are not given to others. */
+uint64_t
 node_id(unsigned who)
 {
-	return addr_pack((struct addr){NET_NODE + who, PORT_CONTROL});
+	return addr_pack((struct addr){
+	    NET_NODE + sim.nodes[who].moves * NODES_MAX + who, PORT_CONTROL});
 }
 
 unsigned
 node_index(uint64_t id)
 {
-	return addr_unpack(id).ip - NET_NODE;
+	return (addr_unpack(id).ip - NET_NODE) % NODES_MAX;
 }
 
 unsigned
@@ -116,7 +119,7 @@
 	break_reports(m);
 	len = flow_wire_encode(m, buf, sizeof(buf));
 
-	if (dst >= sim.node_count || len == 0)
+	if (dst >= sim.node_count || len == 0 || node_id(dst) != to)
 		return;
 	n->sent_bytes += len;
 	sim.control_bytes[n->is_agent][m->kind] += len;
@@ -261,6 +264,7 @@
 	n->watch = (struct store_watch){0};
 	n->routed = false;
 	n->release_ns = 0;
+	n->isolation = (struct isolation){.started_ns = sim.now};
 	if (n->is_agent) {
 		service_name(agent_service(who), service);
 		const struct fa_setup setup = {.id = node_id(who),
@@ -297,6 +301,8 @@
 		    .remote_byte_price = DOMAIN_SHARE_BYTE_PRICE_US};
 
 		fb_init(&n->fb, &setup, &fb_callbacks, n, &n->ctr, sim.now);
+		schedule_event(
+		    STORE_CALL_NS, EV_ENTRY, who, n->generation, 0, NULL, 0);
 	}
 	schedule_event(rng_below(&sim.rng, FB_TICK_MS * NS_PER_MS), EV_TICK,
 	    who, n->generation, 0, NULL, 0);
@@ -320,11 +326,27 @@
 		return;
 	node_clear(n);
 	n->alive = false;
+	n->planned = false;
 	n->disturbed_until_ns = sim.now;
 	n->restart_ns = sim.now + restart_after_ns;
 	schedule_event(restart_after_ns, EV_RECOVERY, who, 0, 0, NULL, 0);
 }
 
+void
+node_replace(unsigned who, uint64_t replace_after_ns)
+{
+	struct node *n = &sim.nodes[who];
+
+	if (!n->alive)
+		return;
+	node_kill(who, replace_after_ns);
+	n->planned = true;
+	n->disturbed_until_ns = 0;
+	n->moves++;
+	n->listed_ns = 0;
+	n->established = false;
+}
+
 unsigned
 address_service(uint64_t address)
 {
@@ -402,6 +424,7 @@
 	struct flow_msg m;
 
 	n->received_bytes += len;
+	n->isolation.last_message_ns = sim.now;
 	if (!flow_wire_decode(
 		(struct str){(const char *)bytes, len}, &arena, &m))
 		return;
@@ -425,8 +448,10 @@
 			fa_tick(&n->fa, sim.now);
 		}
 		fa_tick(&n->fa, sim.now);
+		store_look_up_balancers(n, who);
 	} else {
 		fb_tick(&n->fb, sim.now);
+		store_update_entry(n, who);
 		store_read_config(n);
 		store_begin_evacuations(n);
 	}
@@ -501,6 +526,12 @@
 	case EV_EVACUATIONS:
 		store_handle_evacuations(n, bytes);
 		break;
+	case EV_ENTRY:
+		store_write_entry(n, who);
+		break;
+	case EV_ENTRIES:
+		store_read_entries(n, who);
+		break;
 	case EV_PEER_REPLY:
 		store_apply_routes_of(n, value);
 		break;
--- a/tests/flows/simulation.c
+++ b/tests/flows/simulation.c
@@ -80,6 +80,16 @@
 	       sim.now > n->started_ns + ms * NS_PER_MS;
 }
 
+bool
+node_is_undisturbed(const struct node *n, uint64_t ms)
+{
+	if (!n->planned)
+		return node_is_stable(n, ms);
+	return n->alive && n->frozen_until_ns == 0 &&
+	       (n->disturbed_until_ns == 0 ||
+		   sim.now > n->disturbed_until_ns + ms * NS_PER_MS);
+}
+
 static uint64_t
 wall_ns(void)
 {
@@ -124,6 +134,8 @@
 	case EV_STORE_REPLY:
 	case EV_EVACUATIONS:
 	case EV_PEER_REPLY:
+	case EV_ENTRY:
+	case EV_ENTRIES:
 	case EV_RECORD_READ:
 	case EV_RECORD_WRITTEN:
 	case EV_RELEASE:
--- a/tests/flows/simulation.h
+++ b/tests/flows/simulation.h
@@ -14,6 +14,7 @@
 #include "base/rng.h"
 #include "flow/agent.h"
 #include "flow/balancer.h"
+#include "flow/isolation.h"
 
 /** Size of arrays that are indexed by the kind of a message. */
 #define MESSAGE_KINDS (FLOW_MSG_NOT_HELD + 1)
@@ -96,9 +97,16 @@
 	uint64_t sent_remote_bytes;  /**< part of it to other failure domains */
 	uint64_t received_bytes;
 	struct counters ctr;
-	struct fb fb; /**< used by a balancer */
-	struct fa fa; /**< used by an agent */
-	bool routed;  /**< routers send packets to this balancer */
+	struct fb fb;	/**< used by a balancer */
+	struct fa fa;	/**< used by an agent */
+	bool routed;	/**< routers send packets to this balancer */
+	unsigned moves; /**< a balancer: how often it was replaced by one at a
+			   new address */
+	bool planned;	/**< a balancer: it was started by planned work */
+	uint64_t listed_ns; /**< a balancer: since when its entry is in the
+			       store; 0 if it is not */
+	bool established;   /**< its entry says so */
+	struct isolation isolation; /**< an agent's lookups of balancers */
 	struct store_watch watch;
 	uint64_t store_cut_until_ns; /**< it does not reach the store until
 					then */
@@ -149,6 +157,8 @@
 	EV_STORE_REPLY,	     /**< the store answers a balancer */
 	EV_EVACUATIONS,	     /**< the store answers with the evacuations */
 	EV_PEER_REPLY,	     /**< a balancer answers a peer's read */
+	EV_ENTRY,	     /**< a balancer writes its entry in the store */
+	EV_ENTRIES,	     /**< the store lists the balancers' entries */
 	EV_RECORD_READ,	     /**< an agent reads its record in the store */
 	EV_RECORD_WRITTEN,   /**< the store answers an agent's write */
 	EV_ROUTER_CHECK,     /**< routers check which balancers are ready */
@@ -254,6 +264,8 @@
 void run_until(uint64_t end_ns);
 /** Whether a node runs and had no fault and no cut link for the last ms. */
 bool node_is_stable(const struct node *n, uint64_t ms);
+/** The same, but a start by planned work is no fault. */
+bool node_is_undisturbed(const struct node *n, uint64_t ms);
 
 /* nodes.c */
 /** Allocate and start all balancers and agents, and start the routers. */
@@ -262,6 +274,9 @@
 void node_start(unsigned who);
 /** Kill a node and schedule its restart. */
 void node_kill(unsigned who, uint64_t restart_after_ns);
+/** Stop a balancer for good as planned work; it is replaced, after
+ * replace_after_ns, by one at a new address that no process knows. */
+void node_replace(unsigned who, uint64_t replace_after_ns);
 /** Deliver an event to a node. */
 void node_handle_event(enum event_kind kind, unsigned who, uint64_t value,
     const void *bytes, size_t len);
@@ -398,6 +413,9 @@
 /* faults.c */
 /** Inject a random fault. */
 void fault_inject_random(void);
+/** Replace the balancers of a failure domain, or all when domain is
+ * options.domains, by others at new addresses, as planned work. */
+void fault_replace_balancers(unsigned domain);
 /** Kill all processes; they restart after down_ns. */
 void fault_kill_all(uint64_t down_ns);
 /** Kill all balancers, which restart after down_ns, while the store is away for
--- a/tests/flows/store.c
+++ b/tests/flows/store.c
@@ -19,6 +19,8 @@
 #define PEER_CALL_NS (20 * NS_PER_MS)
 /** Shortest interval between two fetches of one balancer, in ms. */
 #define FETCH_RETRY_MS 200
+/** Longest time by which a list from the store is out of date. */
+#define STALE_MAX_NS (3 * NS_PER_S)
 /** Interval in which an agent tries to read its record, in ms. */
 #define RECORD_RETRY_MS 200
 /** Time in which a new version of the configuration reaches all balancers, in
@@ -349,6 +351,76 @@
 		    (unsigned)(n - sim.nodes), n->generation, source, NULL, 0);
 }
 
+/* ---- entries of the balancers ---- */
+
+/* Breaks INV_RESET: a new balancer takes all agents for known, as if an earlier
+ * process at its address had known them. */
+void
+store_write_entry(struct node *n, unsigned who)
+{
+	if (!reaches_store(n)) {
+		schedule_event(
+		    STORE_RETRY_NS, EV_ENTRY, who, n->generation, 0, NULL, 0);
+		return;
+	}
+	fb_set_listed(&n->fb,
+	    n->established || sim.options.broken_invariant == INV_RESET,
+	    sim.now);
+	if (n->listed_ns == 0)
+		n->listed_ns = sim.now;
+}
+
+static void
+list_entries(struct node *n, unsigned who)
+{
+	schedule_event(
+	    STORE_CALL_NS, EV_ENTRIES, who, n->generation, 0, NULL, 0);
+}
+
+void
+store_update_entry(struct node *n, unsigned who)
+{
+	n->established |=
+	    fb_is_established(&n->fb, sim.now) && reaches_store(n);
+	if (fb_should_list_entries(&n->fb, sim.now))
+		list_entries(n, who);
+}
+
+void
+store_look_up_balancers(struct node *n, unsigned who)
+{
+	if (isolation_should_look_up(
+		&n->isolation, fa_list_query_period_ms(&n->fa), sim.now))
+		list_entries(n, who);
+}
+
+/* The list may lack what was written in the last seconds. */
+void
+store_read_entries(struct node *n, unsigned who)
+{
+	uint64_t stale_ns = rng_below(&sim.rng, STALE_MAX_NS);
+	size_t count = 0;
+
+	if (!reaches_store(n)) {
+		schedule_event(
+		    STORE_RETRY_NS, EV_ENTRIES, who, n->generation, 0, NULL, 0);
+		return;
+	}
+	for (unsigned i = 0; i < sim.options.balancers; i++) {
+		const struct node *b = &sim.nodes[i];
+
+		if (b->listed_ns == 0 || sim.now < b->listed_ns + stale_ns)
+			continue;
+		count += 1 + b->moves;
+		if (n->is_agent)
+			fa_contact_balancer(&n->fa, node_id(i), sim.now);
+		else
+			fb_contact_balancer(&n->fb, node_id(i), sim.now);
+	}
+	if (!n->is_agent)
+		fb_count_entries(&n->fb, count);
+}
+
 /* ---- records ---- */
 
 /* Breaks INV_LOST_FLOW: the agent finds no record. */
--- a/tests/flows/store.h
+++ b/tests/flows/store.h
@@ -24,8 +24,20 @@
 	uint32_t tags[8];
 };
 
-/** Index of the node with an id. */
+/** Id of a node, its present address. */
+uint64_t node_id(unsigned who);
+/** Index of the node with an id, also of an earlier one. */
 unsigned node_index(uint64_t id);
+/** Write the entry of a balancer that has started, and note what an earlier
+ * process has left there. */
+void store_write_entry(struct node *n, unsigned who);
+/** Write the entry again when the balancer is established, and list the others'
+ * entries if it finds no process after its start. */
+void store_update_entry(struct node *n, unsigned who);
+/** List the balancers' entries if an agent is isolated. */
+void store_look_up_balancers(struct node *n, unsigned who);
+/** Contact the balancers in the list of entries. */
+void store_read_entries(struct node *n, unsigned who);
 /** Read or watch the evacuations, as a balancer's task does. */
 void store_begin_evacuations(struct node *n);
 /** Handle the answer to store_begin_evacuations(). */
--- a/tests/flows/targets.c
+++ b/tests/flows/targets.c
@@ -238,7 +238,7 @@
 	check_invariant(INV_STRAY,
 	    !node_is_stable(owner, ENDPOINTS_STABLE_MS) ||
 		!node_is_stable(&sim.nodes[agent], ENDPOINTS_STABLE_MS) ||
-		!node_is_stable(
+		!node_is_undisturbed(
 		    &sim.nodes[p->forwarded_by], ENDPOINTS_STABLE_MS) ||
 		c->incarnation != get_target(c->target)->incarnation,
 	    "%u packets of caller %u reached other targets, none the target of "
--- a/tests/standins/testbed.h
+++ b/tests/standins/testbed.h
@@ -18,7 +18,7 @@
 
 /** Largest numbers of targets, balancers and callers. */
 #define TESTBED_TARGETS_MAX 128
-#define TESTBED_BALANCERS_MAX 32
+#define TESTBED_BALANCERS_MAX 128
 #define TESTBED_CALLERS_MAX 256
 /** Number of services. Target N belongs to service N modulo this number. */
 #define TESTBED_SERVICES 2
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -37,6 +37,9 @@
     {"arrivals", do_arrivals},
     {"refusals", do_refusals},
     {"store_entry", do_store_entry},
+    {"listed", do_listed},
+    {"established", do_established},
+    {"isolated", do_isolated},
     {"evacuations", do_evacuations},
     {"peer_evacuations", do_peer_evacuations},
     {"agent_evacuation", do_agent_evacuation},
@@ -125,10 +128,10 @@
 main(void)
 {
 	static const char *const names[] = {"flow-open", "flow-reuse",
-	    "flow-search", "flow-delegates", "flow-members", "flow-watch",
-	    "flow-agent", "flow-port-reuse", "flow-snapshot", "flow-target",
-	    "flow-queue", "platform", "foreign-objects", "logs", "evacuation",
-	    "evacuation-spread", "cold-limit", "flow-capacity",
+	    "flow-search", "flow-delegates", "flow-coverage", "flow-members",
+	    "flow-watch", "flow-agent", "flow-port-reuse", "flow-snapshot",
+	    "flow-target", "flow-queue", "platform", "foreign-objects", "logs",
+	    "evacuation", "evacuation-spread", "cold-limit", "flow-capacity",
 	    "flow-admission", "domain-share"};
 
 	signal(SIGPIPE, SIG_IGN);
--- a/tests/unit/script_balancer_members.c
+++ b/tests/unit/script_balancer_members.c
@@ -1,3 +1,5 @@
+#include "base/clock.h"
+#include "flow/isolation.h"
 #include "flow_commands.h"
 #include "runner.h"
 #include "script.h"
@@ -109,3 +111,59 @@
 		.age_ms = words_get_u32(&w, 3)};
 	fb_handle_message(fb, &m, script_now_ns);
 }
+
+/*
+ * listed [established] [ENTRIES]: the balancer's entry is in the store, where
+ * an earlier process may have left it as established, beside others
+ */
+void
+do_listed(const char *arg, const char *body)
+{
+	struct words w;
+
+	(void)body;
+	words_split(&w, arg);
+	fb_count_entries(bs_balancer(), words_get_u32(&w, w.count - 1));
+	fb_set_listed(bs_balancer(), strcmp(w.word[0], "established") == 0,
+	    script_now_ns);
+}
+
+/* established: whether a later process at this address needs no proof */
+void
+do_established(const char *arg, const char *body)
+{
+	(void)arg;
+	(void)body;
+	script_printf("  established %d\n",
+	    fb_is_established(bs_balancer(), script_now_ns));
+}
+
+/*
+ * isolated SECONDS BALANCERS LAST-MESSAGE-MS: when an agent that knows a number
+ * of balancers looks them up, in ms after its start. The latest message of a
+ * balancer came at the given time; 0 for none.
+ */
+void
+do_isolated(const char *arg, const char *body)
+{
+	struct words w;
+	struct isolation i = {.started_ns = script_now_ns};
+	uint32_t balancers, last_ms;
+
+	(void)body;
+	words_split(&w, arg);
+	balancers = words_get_u32(&w, 1);
+	last_ms = words_get_u32(&w, 2);
+	script_printf(" ");
+	for (uint32_t ms = 0; ms < 1000 * words_get_u32(&w, 0); ms += 50) {
+		uint64_t now = i.started_ns + ms * NS_PER_MS;
+
+		if (last_ms != 0 && ms == last_ms)
+			i.last_message_ns = now;
+		if (isolation_should_look_up(
+			&i, isolation_list_period_ms(balancers), now))
+			script_printf(" %u", ms);
+	}
+	script_printf(
+	    "; found within %u\n", (unsigned)isolation_max_ms(balancers));
+}
