flow/coverage: list the entries again when the list cannot lack others' entries

What callers saw: none reported it. In flow-run's mode "replace", balancers that had started together at new addresses did not find each other, were forgotten by agents, took these for lost and reset their flows 25 s later.

Cause: a balancer that finds no other process lists the balancers' entries once, 0.2 s after its start, and the store may answer with a list that is seconds old.

Change: the entries are listed once more 4 s later, unless the balancer knows all agents by then.

The script flow-coverage listed them once before.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -94,6 +94,8 @@
 	    "$build/tests/flow-run" $seed 60 9 24 reuse faults
 	check "flow-run-overload-$seed" \
 	    "$build/tests/flow-run" $seed 5 3 8 overload
+	check "flow-run-replace-$seed" \
+	    "$build/tests/flow-run" $seed 40 9 24 replace
 	check "flow-run-away-$seed" \
 	    "$build/tests/flow-run" $seed 10 9 24 away
 	check "flow-run-priorities-$seed" \
--- a/src/flow/coverage.c
+++ b/src/flow/coverage.c
@@ -11,7 +11,7 @@
  * process has been found. Seeds that start at the same time are found within a
  * fraction of a second. */
 #define FIRST_LIST_MS 200
-#define LISTS_MAX 1
+#define LISTS_MAX 2
 
 static bool
 has_passed(uint64_t since_ns, uint64_t ms, uint64_t now)
--- a/tests/unit/flow_commands.h
+++ b/tests/unit/flow_commands.h
@@ -63,6 +63,7 @@
 void do_listed(const char *arg, const char *body);
 void do_established(const char *arg, const char *body);
 void do_isolated(const char *arg, const char *body);
+void do_lists_entries(const char *arg, const char *body);
 void do_spread(const char *arg, const char *body);
 void do_route(const char *arg, const char *body);
 void do_arrivals(const char *arg, const char *body);
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -40,6 +40,7 @@
     {"listed", do_listed},
     {"established", do_established},
     {"isolated", do_isolated},
+    {"lists_entries", do_lists_entries},
     {"evacuations", do_evacuations},
     {"peer_evacuations", do_peer_evacuations},
     {"agent_evacuation", do_agent_evacuation},
--- a/tests/unit/script_balancer_members.c
+++ b/tests/unit/script_balancer_members.c
@@ -6,6 +6,7 @@
 #include "script_flow_balancer.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 /* gone AGENT: the last heartbeat of an agent that exits */
@@ -167,3 +168,22 @@
 	script_printf(
 	    "; found within %u\n", (unsigned)isolation_max_ms(balancers));
 }
+
+/* lists_entries SECONDS: when the balancer lists the balancers' entries in the
+ * store, in ms after now */
+void
+do_lists_entries(const char *arg, const char *body)
+{
+	uint64_t began = script_now_ns;
+	uint64_t seconds = strtoul(arg, NULL, 10);
+
+	(void)body;
+	script_printf(" ");
+	while (script_now_ns < began + seconds * NS_PER_S) {
+		do_wait("50", "");
+		if (fb_should_list_entries(bs_balancer(), script_now_ns))
+			script_printf(" %u",
+			    (unsigned)((script_now_ns - began) / NS_PER_MS));
+	}
+	script_printf("\n");
+}
