flow/coverage: the short wait after a restart needs all balancers to have it

Cause: two of the agents' short heartbeat periods are enough because each balancer hears sooner from the agents of its own failure domain and tells the others how many it has. Balancers at new addresses have not heard from them.

Change: a balancer states in its heartbeats that all agents knew its address before (known_before, field 18). The short wait holds if all live balancers state it; otherwise two of the longest periods that agents have announced, 5 s at least. Earlier releases do not state it: beside them the wait is longer.

--- a/src/codec/flow.pb-c.c
+++ b/src/codec/flow.pb-c.c
@@ -890,7 +890,7 @@
   (ProtobufCMessageInit) pwf__agent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[17] =
+static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[18] =
 {
   {
     "domain",
@@ -1096,6 +1096,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known_before",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Balancer, known_before),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__balancer__field_indices_by_name[] = {
   5,   /* field[5] = agent_set */
@@ -1106,6 +1118,7 @@
   0,   /* field[0] = domain */
   14,   /* field[14] = evacuated */
   13,   /* field[13] = evacuation */
+  17,   /* field[17] = known_before */
   3,   /* field[3] = leaving */
   15,   /* field[15] = limits */
   7,   /* field[7] = near_agents */
@@ -1119,7 +1132,7 @@
 static const ProtobufCIntRange pwf__balancer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor pwf__balancer__descriptor =
 {
@@ -1129,7 +1142,7 @@
   "Pwf__Balancer",
   "pwf",
   sizeof(Pwf__Balancer),
-  17,
+  18,
   pwf__balancer__field_descriptors,
   pwf__balancer__field_indices_by_name,
   1,  pwf__balancer__number_ranges,
--- a/src/codec/flow_wire.c
+++ b/src/codec/flow_wire.c
@@ -54,6 +54,7 @@
 	out.whole = b->whole;
 	out.ask = b->ask;
 	out.settled = b->settled;
+	out.known_before = b->known_before;
 	out.capacity = b->capacity;
 	out.watch_ok = b->watch_ok;
 	out.evacuation = b->evacuation;
@@ -286,6 +287,7 @@
 	out->whole = b->whole;
 	out->ask = b->ask;
 	out->settled = b->settled;
+	out->known_before = b->known_before;
 	out->capacity = b->capacity;
 	out->watch_ok = b->watch_ok;
 	out->evacuation = b->evacuation;
--- a/src/flow/agents.c
+++ b/src/flow/agents.c
@@ -194,6 +194,21 @@
 	}
 }
 
+uint64_t
+agents_max_period_ms(const struct agents *a, uint32_t domain)
+{
+	uint64_t ms = 0;
+	struct agent_view *v, *next;
+
+	HASH_ITER(hh, a->table, v, next)
+	{
+		if ((domain == 0 || v->domain_tag == domain) &&
+		    v->heartbeat.period_ms > ms)
+			ms = v->heartbeat.period_ms;
+	}
+	return ms;
+}
+
 size_t
 agents_count_live(const struct agents *a, uint64_t now)
 {
--- a/src/flow/agents.h
+++ b/src/flow/agents.h
@@ -101,6 +101,11 @@
 bool agent_is_silent(const struct agent_view *v, uint64_t now);
 /** Remove agents that have been silent for AGENT_FORGET_MS. */
 void agents_expire(struct agents *a, uint64_t now);
+/**
+ * Longest period in ms that an agent has announced to this balancer.
+ * @param domain tag of their failure domain; 0 for all
+ */
+uint64_t agents_max_period_ms(const struct agents *a, uint32_t domain);
 /** Number of agents that are not silent. */
 size_t agents_count_live(const struct agents *a, uint64_t now);
 /** Whether the latest heartbeat is younger than AGENT_RESTART_WAIT_MS, so that
--- a/src/flow/balancer_coverage.c
+++ b/src/flow/balancer_coverage.c
@@ -55,9 +55,11 @@
 /** The other balancers' agents compared with the own ones, in the scope of
  * fb_has_local_scope(). */
 struct comparison {
-	size_t compared; /**< live balancers */
-	size_t more;	 /**< of them, those that have more recent agents */
-	size_t complete; /**< of them, those that know all agents now */
+	size_t compared;     /**< live balancers */
+	size_t more;	     /**< of them, those that have more recent agents */
+	size_t complete;     /**< of them, those that know all agents now */
+	size_t known_before; /**< of them, those at addresses that all agents
+				knew before */
 	size_t received_complete; /**< of them, those that were complete when
 				     their list was received */
 	size_t known;		  /**< own recent agents */
@@ -82,6 +84,7 @@
 		c.compared++;
 		c.more += set->count > c.known;
 		c.complete += e->agents_complete;
+		c.known_before += e->known_before;
 		c.received_complete += set->was_complete;
 	}
 	return c;
@@ -103,8 +106,11 @@
 	    .has_list_of_complete = c->received_complete > 0,
 	    .peer_is_complete = c->complete > 0,
 	    .peer_has_more = c->more > 0,
+	    .peers_known_before = c->known_before == c->compared,
 	    .first_agent_ns = fb->first_agent_ns,
 	    .agent_period_ms = fb->min_heartbeat_ms,
+	    .agent_max_period_ms = agents_max_period_ms(&fb->agents,
+		fb_has_local_scope(fb, now) ? fb->peers.domain_tag : 0),
 	    .balancers = peers_count(&fb->peers)};
 
 	return coverage_is_complete(&fb->coverage, &e, now);
@@ -115,8 +121,8 @@
  * are known; agents that start later send it heartbeats themselves. Once true,
  * this stays true.
  */
-static bool
-check_agents_complete(struct fb *fb, uint64_t now)
+bool
+fb_check_agents_complete(struct fb *fb, uint64_t now)
 {
 	struct comparison c;
 
@@ -183,16 +189,18 @@
 		return UNCERTAINTY_AGENT_REPORTED;
 	if (has_unconfirmed_loss(fb, now))
 		return UNCERTAINTY_LISTS_MISSING;
-	return check_agents_complete(fb, now) ? UNCERTAINTY_NONE
-					      : UNCERTAINTY_LISTS_MISSING;
+	return fb_check_agents_complete(fb, now) ? UNCERTAINTY_NONE
+						 : UNCERTAINTY_LISTS_MISSING;
 }
 
 /* Why not all agents of the other failure domains may be known. */
 static enum uncertainty
 remote_uncertainty(const struct fb *fb, uint64_t now)
 {
-	return fb->remote_agents_complete || coverage_has_remote(&fb->coverage,
-						 peers_count(&fb->peers), now)
+	return fb->remote_agents_complete ||
+		       coverage_has_waited(&fb->coverage,
+			   peers_count(&fb->peers),
+			   agents_max_period_ms(&fb->agents, 0), now)
 		   ? UNCERTAINTY_NONE
 		   : UNCERTAINTY_REMOTE;
 }
@@ -230,7 +238,7 @@
 fb_tick_coverage(struct fb *fb, uint64_t now)
 {
 	if (fb_is_warm(fb, now))
-		check_agents_complete(fb, now);
+		fb_check_agents_complete(fb, now);
 }
 
 enum uncertainty
--- a/src/flow/coverage.c
+++ b/src/flow/coverage.c
@@ -77,11 +77,15 @@
 }
 
 bool
-coverage_has_remote(const struct coverage *c, size_t balancers, uint64_t now)
+coverage_has_waited(const struct coverage *c, size_t balancers,
+    uint64_t max_period_ms, uint64_t now)
 {
+	uint64_t ms = 2 * max_period_ms > RESTART_COVERED_MS
+			  ? 2 * max_period_ms
+			  : RESTART_COVERED_MS;
+
 	return coverage_is_findable(c, balancers, now) ||
-	       (c->known_before &&
-		   has_passed(c->started_ns, RESTART_COVERED_MS, now));
+	       (c->known_before && has_passed(c->started_ns, ms, now));
 }
 
 bool
@@ -92,10 +96,13 @@
 		return true;
 	if (e->peer_has_more)
 		return false;
-	/* All balancers may have restarted at their addresses. */
-	if (c->known_before && e->has_peers && !e->peer_is_complete &&
-	    e->first_agent_ns != 0 &&
+	/* All balancers have restarted at their addresses. Each hears sooner
+	 * from the agents of its failure domain, whose shorter period counts.
+	 */
+	if (c->known_before && e->has_peers && e->peers_known_before &&
+	    !e->peer_is_complete && e->first_agent_ns != 0 &&
 	    has_passed(e->first_agent_ns, 2 * e->agent_period_ms, now))
 		return true;
-	return coverage_has_remote(c, e->balancers, now);
+	return coverage_has_waited(
+	    c, e->balancers, e->agent_max_period_ms, now);
 }
--- a/src/flow/coverage.h
+++ b/src/flow/coverage.h
@@ -38,9 +38,12 @@
 				      received */
 	bool peer_is_complete;	   /**< one of them knows all agents */
 	bool peer_has_more;	   /**< one of them has more recent agents */
+	bool peers_known_before;   /**< all agents knew earlier processes at the
+				      addresses of all of them */
 	uint64_t first_agent_ns;   /**< first heartbeat of an agent; 0: none */
 	uint64_t agent_period_ms;  /**< shortest period of their heartbeats */
-	size_t balancers;	   /**< others that it knows */
+	uint64_t agent_max_period_ms; /**< longest one */
+	size_t balancers;	      /**< others that it knows */
 };
 
 /** Initialize at the start of the process. */
@@ -72,10 +75,13 @@
  */
 bool coverage_is_findable(
     const struct coverage *c, size_t balancers, uint64_t now);
-/** Whether agents that this balancer does not compare with others, those of
- * other failure domains, have sent it a heartbeat. */
-bool coverage_has_remote(
-    const struct coverage *c, size_t balancers, uint64_t now);
+/**
+ * Whether every agent has sent this balancer a heartbeat by now, whatever other
+ * balancers have heard.
+ * @param max_period_ms longest period of the agents' heartbeats
+ */
+bool coverage_has_waited(const struct coverage *c, size_t balancers,
+    uint64_t max_period_ms, uint64_t now);
 /** Whether all agents that ran when this balancer started are known. */
 bool coverage_is_complete(
     const struct coverage *c, const struct coverage_evidence *e, uint64_t now);
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -97,6 +97,8 @@
 	bool ask;   /**< requests a list of the agents in the receiver's failure
 		       domain */
 	bool settled;	   /**< it knows all agents that it compares */
+	bool known_before; /**< all agents knew an earlier process at its
+			      address */
 	uint32_t capacity; /**< processor time it may use, in thousandths of a
 			      core */
 	bool leaving;
