codec/settings: a bound is a whole number, a fraction, true or false

Cause: flow_life_s and evacuation_ms were read as whole numbers; the users' pages allow fractions, true and false for every bound. A number outside the range, and a bound that is missing in the template, had the same effect.

Change: one function reads all bounds, word_period_ms and cores; numbers beyond the range count as the nearest one in it, false as a missing key, true as the default. "start" and "reloaded" log the values in force. Texts, null and negative numbers are errors as before.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -123,6 +123,7 @@
 check flow-broken-12 check_flow_broken 12 4 overload 3 8
 check flow-broken-15 check_flow_broken 15 1 priorities 3 8
 check flow-broken-16 check_flow_broken 16 1 cutoff
+check flow-broken-21 check_flow_broken 21 1
 for invariant in 17 18 19 20; do
 	check "flow-broken-$invariant" check_flow_broken $invariant 1 double 8 20
 done
--- a/scripts/faultsoak.sh
+++ b/scripts/faultsoak.sh
@@ -48,9 +48,48 @@
 	) &
 }
 
+pick() { # TEXT...
+	local n=$((RANDOM % $# + 1))
+	echo "${!n}"
+}
+
+# Replace the bounds in all settings files. Every third process is told; the
+# others read them when they start again.
+change_bounds() {
+	local n
+	bounds=$(pick "" '"flow_life_s": 60,' '"flow_life_s": 59.5,' \
+	    '"flow_life_s": true,' '"flow_life_s": false,')
+	bounds="$bounds $(pick '"evacuation_ms": 5000,' \
+	    '"evacuation_ms": 4999.5,' '"evacuation_ms": true,')"
+	bounds="$bounds $(pick '"cold_overage": 1.5, "cold_slack": 5,' \
+	    '"cold_overage": 2, "cold_slack": 4.5,' \
+	    '"cold_overage": true, "cold_slack": false,')"
+	fault "settings $bounds"
+	for ((n = first_balancer; n < first_balancer + balancers; n++)); do
+		flow_balancer_settings $n
+		[ $((RANDOM % 3)) = 0 ] && kill -HUP "${pid_of[b$n]}"
+	done
+	for ((n = 0; n < targets; n++)); do
+		flow_agent_settings $n
+		[ $((RANDOM % 3)) = 0 ] && kill -HUP "${pid_of[a$n]}"
+	done
+}
+
+# Count the processes that have ended by themselves.
+count_ended() {
+	local n ended=0
+	for ((n = first_balancer; n < first_balancer + balancers; n++)); do
+		kill -0 "${pid_of[b$n]}" 2>/dev/null || ended=$((ended + 1))
+	done
+	for ((n = 0; n < targets; n++)); do
+		kill -0 "${pid_of[a$n]}" 2>/dev/null || ended=$((ended + 1))
+	done
+	echo $ended
+}
+
 inject_random_fault() {
 	local b=$((first_balancer + RANDOM % balancers)) a=$((RANDOM % targets))
-	case $((RANDOM % 10)) in
+	case $((RANDOM % 11)) in
 	0) restart flow_balancer $b KILL ;;
 	1) restart flow_balancer $b TERM ;;
 	2) freeze b$b ;;
@@ -60,6 +99,7 @@
 	6) had_recent_fault "t$a" || { fault "leave $a" && hall leave $a; } ;;
 	7) had_recent_fault "t$a" || { fault "crash $a" && hall crash $a; } ;;
 	8) fault change && hall change && { hall away; sleep 0.3; hall back; } ;;
+	10) change_bounds ;;
 	9) had_recent_fault all || { replace_balancers && fault replace; } ;;
 	esac
 }
@@ -79,11 +119,12 @@
 hall_answers $((procs * 4)) || stuck=1
 sleep 1
 behind=$((balancers - $(hall_versions | grep -c "^$(hall_field version)\$")))
+ended=$(count_ended)
 hall_end
 violations=$(($(hall_last resets) + $(hall_last misrouted) +
-    $(hall_last mixed) + $(hall_last changed) + $(hall_last late) + stuck + behind))
+    $(hall_last mixed) + $(hall_last changed) + $(hall_last late) + stuck + behind + ended))
 tail -n 1 "$lab/hall.out"
-echo "stuck $stuck balancers-behind $behind"
+echo "stuck $stuck balancers-behind $behind ended $ended"
 echo "faultsoak: seed $seed seconds $seconds faults $faults checks" \
     "$(hall_last checks) violations $violations"
 [ "$violations" -eq 0 ]
--- a/scripts/hall.sh
+++ b/scripts/hall.sh
@@ -7,23 +7,29 @@
 
 # The balancers that run are those from this one on.
 first_balancer=0
+# Bounds in the settings of the processes, each followed by a comma.
+bounds=""
 
 flow_seeds() {
 	echo "[\"127.$net.1.1:7700\", \"127.$net.1.2:7700\"]"
 }
 
-flow_balancer() { # N, from 0
+flow_balancer_settings() { # N, from 0
 	local ip=127.$net.1.$(($1 + 1))
 	cat >"$lab/flow-balancer$1.json" <<-JSON
 	{"name": "b$1", "address": "$ip:7700", "domain": "z$(($1 % 3))",
 	 "balancers": $(flow_seeds), "platform": "http://127.$net.0.1:8400",
 	 "packets": "$ip:8172", "readiness": "$ip:8167", "grace_ms": 3000,
-	 "log_lines": 200}
+	 $bounds "log_lines": 200}
 	JSON
+}
+
+flow_balancer() { # N, from 0
+	flow_balancer_settings "$1"
 	start "b$1" "$pw" balancer --flows --settings "$lab/flow-balancer$1.json"
 }
 
-flow_agent() { # N, from 0
+flow_agent_settings() { # N, from 0
 	local ip=127.$net.2.$(($1 + 1)) service=desk
 	[ $(($1 % 2)) = 0 ] || service=store
 	cat >"$lab/flow-agent$1.json" <<-JSON
@@ -31,8 +37,13 @@
 	 "balancers": $(flow_seeds), "platform": "http://127.$net.0.1:8400",
 	 "packets": "$ip:8172", "readiness": "$ip:8167", "service": "$service",
 	 "target": "127.$net.3.$(($1 + 1)):8080", "target_packets": "$ip:8162",
-	 "target_words": "$ip:8166", "word_period_ms": 400, "log_lines": 200}
+	 "target_words": "$ip:8166", "word_period_ms": 400, $bounds
+	 "log_lines": 200}
 	JSON
+}
+
+flow_agent() { # N, from 0
+	flow_agent_settings "$1"
 	start "a$1" "$pw" agent --flows --settings "$lab/flow-agent$1.json"
 }
 
--- a/src/codec/settings.c
+++ b/src/codec/settings.c
@@ -3,6 +3,7 @@
 #include "flow/domain_share.h"
 
 #include <jansson.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -13,7 +14,11 @@
 #define DEFAULT_GRACE_MS 3000
 #define DEFAULT_FLOW_CAPACITY 65536
 #define DEFAULT_WORD_PERIOD_MS 1000
-#define DEFAULT_FLOW_LIFE_S 60
+#define DEFAULT_FLOW_LIFE_MS 60000
+/** Bounds that are in force without a value: the shortest of the users', and no
+ * excess. */
+#define DEFAULT_EVACUATION_MS 5000
+#define DEFAULT_COLD_OVERAGE 1
 #define DEFAULT_PLATFORM_CALLS_PER_S 10
 #define DEFAULT_LOG_LINES_PER_S 50
 #define DEFAULT_CAPACITY_MILLICORES 1000
@@ -287,16 +292,61 @@
 	read_string(r, key, v, r->out->name, sizeof(r->out->name));
 }
 
+/** Least and greatest value of a bound, and the one of a bound that is in force
+ * without a value. */
+struct bound_range {
+	double min;
+	double max;
+	double unstated;
+};
+
+/*
+ * Read a bound that the platform states: a whole number, a fraction, or true or
+ * false for whether it is in force. A number beyond the range counts as the
+ * nearest one in it: it must not keep a process from starting.
+ * Returns whether the bound is in force.
+ */
+static bool
+read_bound(struct reader *r, const char *key, json_t *v,
+    const struct bound_range *range, double *out)
+{
+	double value = json_number_value(v);
+
+	if (json_is_boolean(v)) {
+		*out = range->unstated;
+		return json_is_true(v);
+	}
+	if (!json_is_number(v) || value < 0) {
+		report_invalid(r, key, v, "a number from 0, true or false");
+		return false;
+	}
+	*out = value < range->min   ? range->min
+	       : value > range->max ? range->max
+				    : value;
+	return true;
+}
+
 static void
 read_word_period(struct reader *r, const char *key, json_t *v)
 {
-	r->out->word_period_ms = read_number(r, key, v, 100, 60000);
+	static const struct bound_range range = {
+	    100, 60000, DEFAULT_WORD_PERIOD_MS};
+	double ms;
+
+	if (read_bound(r, key, v, &range, &ms))
+		r->out->word_period_ms = (uint32_t)(ms + 0.5);
 }
 
 static void
 read_flow_life(struct reader *r, const char *key, json_t *v)
 {
-	r->out->flow_life_s = read_number(r, key, v, 1, 86400);
+	static const struct bound_range range = {
+	    1, 86400, DEFAULT_FLOW_LIFE_MS / 1000.0};
+	double s;
+
+	/* Rounded up: no flow is removed before its time. */
+	if (read_bound(r, key, v, &range, &s))
+		r->out->flow_life_ms = (uint64_t)ceil(s * 1000);
 }
 
 static void
@@ -308,11 +358,11 @@
 static void
 read_cores(struct reader *r, const char *key, json_t *v)
 {
-	double cores = json_number_value(v);
+	static const struct bound_range range = {
+	    0.001, 1024, DEFAULT_CAPACITY_MILLICORES / 1000.0};
+	double cores;
 
-	if (!json_is_number(v) || cores < 0.001 || cores > 1024)
-		report_invalid(r, key, v, "a number 0.001 to 1024");
-	else
+	if (read_bound(r, key, v, &range, &cores))
 		r->out->capacity = (uint32_t)(cores * 1000);
 }
 
@@ -325,31 +375,33 @@
 static void
 read_evacuation(struct reader *r, const char *key, json_t *v)
 {
-	r->out->evacuation_ms = read_number(r, key, v, 1, 600000);
+	static const struct bound_range range = {
+	    1, 600000, DEFAULT_EVACUATION_MS};
+	double ms;
+
+	if (read_bound(r, key, v, &range, &ms))
+		r->out->evacuation_ms = (uint32_t)ms;
 }
 
 static void
 read_cold_overage(struct reader *r, const char *key, json_t *v)
 {
-	double factor = json_number_value(v);
+	static const struct bound_range range = {
+	    0.001, 1000, DEFAULT_COLD_OVERAGE};
+	double factor;
 
-	if (!json_is_number(v) || factor < 0.001 || factor > 1000)
-		report_invalid(r, key, v, "a number 0.001 to 1000");
-	else
+	if (read_bound(r, key, v, &range, &factor))
 		r->out->cold_overage_milli = (uint32_t)(factor * 1000 + 0.5);
 }
 
 static void
 read_cold_slack(struct reader *r, const char *key, json_t *v)
 {
-	double slack = json_number_value(v);
+	static const struct bound_range range = {0, 1000, 0};
+	double slack = 0;
 
-	if (!json_is_number(v) || slack < 0 || slack > 1000) {
-		report_invalid(r, key, v, "a number 0 to 1000");
-		return;
-	}
+	r->out->has_cold_slack = read_bound(r, key, v, &range, &slack);
 	r->out->cold_slack = (uint32_t)slack;
-	r->out->has_cold_slack = true;
 }
 
 static void
@@ -473,7 +525,7 @@
 	    .flow_capacity = DEFAULT_FLOW_CAPACITY,
 	    .keep_copies = true,
 	    .word_period_ms = DEFAULT_WORD_PERIOD_MS,
-	    .flow_life_s = DEFAULT_FLOW_LIFE_S,
+	    .flow_life_ms = DEFAULT_FLOW_LIFE_MS,
 	    .platform_calls_per_s = DEFAULT_PLATFORM_CALLS_PER_S,
 	    .log_lines_per_s = DEFAULT_LOG_LINES_PER_S,
 	    .capacity = DEFAULT_CAPACITY_MILLICORES,
--- a/src/codec/settings.h
+++ b/src/codec/settings.h
@@ -54,7 +54,7 @@
 	struct addr readiness;	       /**< answers readiness checks */
 	struct addr metrics;	       /**< serves metrics; port 0 for none */
 	uint32_t word_period_ms;       /**< period of the target's heartbeats */
-	uint32_t flow_life_s; /**< idle time after which a flow is removed */
+	uint64_t flow_life_ms; /**< idle time after which a flow is removed */
 	uint32_t platform_calls_per_s; /**< limit for this process */
 	uint32_t capacity;	       /**< CPU, in thousandths of a core */
 	uint32_t log_lines_per_s;      /**< limit for this process */
--- a/src/task/flow_agent_task.c
+++ b/src/task/flow_agent_task.c
@@ -330,7 +330,7 @@
 	struct task_state *t = ctx;
 
 	t->fa.setup.seed_count = t->node.seed_count;
-	t->fa.setup.flow_life_ms = t->node.set.flow_life_s * 1000ULL;
+	t->fa.setup.flow_life_ms = t->node.set.flow_life_ms;
 	t->fa.target.period_ms = t->node.set.word_period_ms;
 }
 
@@ -360,7 +360,7 @@
 	    .service = n->set.service,
 	    .target = n->set.target,
 	    .word_period_ms = n->set.word_period_ms,
-	    .flow_life_ms = n->set.flow_life_s * 1000ULL,
+	    .flow_life_ms = n->set.flow_life_ms,
 	    .flow_capacity = n->set.flow_capacity,
 	    .seeds = n->seeds,
 	    .seed_count = n->seed_count,
--- a/src/task/flow_node.c
+++ b/src/task/flow_node.c
@@ -197,9 +197,11 @@
 	memcpy(n->set.seeds, set.seeds, sizeof(set.seeds));
 	n->set.seed_count = set.seed_count;
 	n->set.word_period_ms = set.word_period_ms;
-	n->set.flow_life_s = set.flow_life_s;
+	n->set.flow_life_ms = set.flow_life_ms;
 	set_seeds(n);
-	event("reloaded", "s:i", "seeds", (int)n->seed_count);
+	event("reloaded", "s:i, s:I, s:i", "seeds", (int)n->seed_count,
+	    "flow_life_ms", (json_int_t)set.flow_life_ms, "word_period_ms",
+	    (int)set.word_period_ms);
 	n->ops->reloaded(n->ctx);
 }
 
@@ -245,9 +247,12 @@
 	n->hup.data = n;
 	uv_signal_start(&n->hup, on_hup, SIGHUP);
 	start_batch_hooks(n);
-	event("start", "s:s, s:s, s:I, s:i", "name", n->set.name, "domain",
-	    n->set.domain, "incarnation", (json_int_t)n->incarnation, "seeds",
-	    (int)n->seed_count);
+	event("start", "s:s, s:s, s:I, s:i, s:I, s:i, s:i", "name", n->set.name,
+	    "domain", n->set.domain, "incarnation", (json_int_t)n->incarnation,
+	    "seeds", (int)n->seed_count, "flow_life_ms",
+	    (json_int_t)n->set.flow_life_ms, "evacuation_ms",
+	    (int)n->set.evacuation_ms, "cold_overage_milli",
+	    (int)n->set.cold_overage_milli);
 	return st;
 }
 
--- a/tests/flows/faults.c
+++ b/tests/flows/faults.c
@@ -1,4 +1,4 @@
-#include "simulation.h"
+#include "settings.h"
 
 /** Actions of an EV_RECOVERY event. */
 enum recovery {
@@ -141,7 +141,7 @@
 
 	sim.fault_count++;
 	sim.loss_ppm = rng_chance(&sim.rng, 200000) ? 20000 : 500;
-	switch (rng_below(&sim.rng, 14)) {
+	switch (rng_below(&sim.rng, 15)) {
 	case 0:
 	case 1:
 		node_kill(random_balancer(), ns / 2);
@@ -183,6 +183,9 @@
 			fault_replace_balancers((unsigned)rng_below(
 			    &sim.rng, sim.options.domains + 1));
 		break;
+	case 14:
+		settings_change();
+		break;
 	case 10:
 		if (rng_chance(&sim.rng, 50000))
 			fault_power_loss(ns / 2);
--- a/tests/flows/nodes.c
+++ b/tests/flows/nodes.c
@@ -25,6 +25,7 @@
 /** Delay of a misrouted packet, as between two failure domains. */
 #define REMOTE_DELAY_NS (4 * NS_PER_MS)
 #define SEED_COUNT 3
+#define FLOW_LIFE_MS 60000
 /** Requests that agents report too many when a check is to fail, times 1000. */
 #define REPORT_TOO_MANY_MILLI 30000
 
@@ -243,8 +244,9 @@
 static uint32_t
 evacuation_setting(void)
 {
-	return sim.options.broken_invariant == INV_EVACUATED ? 0
-							     : EVACUATION_MS;
+	return sim.options.broken_invariant == INV_EVACUATED
+		   ? 0
+		   : sim.settings.evacuation_ms;
 }
 
 void
@@ -274,14 +276,14 @@
 		    .service = service,
 		    .target = {NET_NODE + who, 8080},
 		    .word_period_ms = 1200,
-		    .flow_life_ms = 60000,
+		    .flow_life_ms = sim.settings.flow_life_ms,
 		    .flow_capacity = 4096,
 		    .seeds = seeds,
 		    .seed_count = SEED_COUNT,
 		    .evacuation_ms = evacuation_setting(),
 		    .cold = {.active = sim.options.broken_invariant != INV_COLD,
-			.overage_milli = COLD_OVERAGE_MILLI,
-			.slack = COLD_SLACK}};
+			.overage_milli = sim.settings.cold_overage_milli,
+			.slack = sim.settings.cold_slack}};
 
 		fa_init(&n->fa, &setup, &fa_callbacks, n, &n->ctr, sim.now);
 		n->fa.setup.service = NULL;
@@ -368,6 +370,10 @@
 nodes_init(void)
 {
 	sim.node_count = sim.options.balancers + sim.options.agents;
+	sim.settings = (struct settings){.flow_life_ms = FLOW_LIFE_MS,
+	    .evacuation_ms = EVACUATION_MS,
+	    .cold_overage_milli = COLD_OVERAGE_MILLI,
+	    .cold_slack = COLD_SLACK};
 	sim.nodes = mem_grow(NULL, sim.node_count, sizeof(*sim.nodes));
 	memset(sim.nodes, 0, sim.node_count * sizeof(*sim.nodes));
 	for (unsigned i = 0; i < SEED_COUNT; i++)
--- a/tests/flows/simulation.h
+++ b/tests/flows/simulation.h
@@ -12,6 +12,7 @@
 
 #include "base/clock.h"
 #include "base/rng.h"
+#include "codec/settings.h"
 #include "flow/agent.h"
 #include "flow/balancer.h"
 #include "flow/isolation.h"
@@ -64,6 +65,7 @@
 				others leave */
 	INV_IDLE_REFUSAL,  /**< nothing is refused while slots are free */
 	INV_USED,	   /**< what the targets can serve is served in time */
+	INV_SETTINGS,	   /**< processes start with any valid settings */
 	INV_COUNT
 };
 
@@ -210,7 +212,8 @@
 /** State of the simulation. Arrays of two are indexed by node.is_agent. */
 struct simulation {
 	struct sim_options options;
-	uint64_t now; /**< virtual time in ns */
+	struct settings settings; /**< of processes that start now */
+	uint64_t now;		  /**< virtual time in ns */
 	struct event_queue queue;
 	struct rng rng;
 	struct node *nodes; /**< balancers, then agents */
--- a/tests/unit/scripted.c
+++ b/tests/unit/scripted.c
@@ -88,14 +88,19 @@
 
 /* ---- settings ---- */
 
-/* settings operator|balancer|agent << JSON: loads a settings file */
+/*
+ * settings operator|balancer|agent|bounds << JSON: loads a settings file; with
+ * "bounds" for an agent of opaque flows, whose bounds are printed
+ */
 static void
 do_settings(const char *arg, const char *body)
 {
 	char path[] = "/tmp/settings-XXXXXX";
 	enum settings_use use = strcmp(arg, "balancer") == 0 ? SETTINGS_BALANCER
 				: strcmp(arg, "agent") == 0  ? SETTINGS_AGENT
-							    : SETTINGS_OPERATOR;
+				: strcmp(arg, "bounds") == 0
+				    ? SETTINGS_FLOW_AGENT
+				    : SETTINGS_OPERATOR;
 	struct settings set;
 	struct status st;
 	int fd = mkstemp(path);
@@ -110,6 +115,13 @@
 		memmove(at, "FILE", 4), memmove(at + 4, at + strlen(path),
 					    strlen(at + strlen(path)) + 1);
 	script_printf("%s\n", st.code == STATUS_OK ? "good" : st.message);
+	if (use == SETTINGS_FLOW_AGENT && st.code == STATUS_OK)
+		script_printf("flows %llu ms, heartbeats %u ms, evacuations "
+			      "%u ms, cold %s %u + %u, cores %u\n",
+		    (unsigned long long)set.flow_life_ms, set.word_period_ms,
+		    set.evacuation_ms,
+		    settings_limit_cold(&set) ? "limited" : "not limited",
+		    set.cold_overage_milli, set.cold_slack, set.capacity);
 }
 
 /* ---- submission ---- */
