flow/routes: a route is split over any number of services

Cause: the shares of a route were an array of 8, and a ninth made the whole version malformed; so did a copy that another process sent.

The expected output of config-check loses "9 shares: at most 8 are possible": it stated the project's own limit.

--- a/src/codec/routes_wire.c
+++ b/src/codec/routes_wire.c
@@ -4,32 +4,40 @@
 
 #include <stdlib.h>
 
-/** A route in protobuf form, with the memory that it points to. */
-struct packed_route {
-	Pwf__Route route;
-	Pwf__Share shares[ROUTE_SHARES_MAX];
-	Pwf__Share *share_refs[ROUTE_SHARES_MAX];
-};
-
+/* Write a route to out, its shares to shares, and references to refs. */
 static void
-route_to_pb(struct packed_route *out, const struct flow_route *r)
+route_to_pb(Pwf__Route *out, Pwf__Share *shares, Pwf__Share **refs,
+    const struct flow_route *r)
 {
-	pwf__route__init(&out->route);
-	out->route.at = r->at;
-	out->route.priority = (uint32_t)(r->priority + 1);
-	out->route.latency_ms = r->latency_ms;
-	out->route.timeout_ms = r->timeout_ms;
-	out->route.kind = r->kind;
-	out->route.n_shares = r->count;
-	out->route.shares = out->share_refs;
+	pwf__route__init(out);
+	out->at = r->at;
+	out->priority = (uint32_t)(r->priority + 1);
+	out->latency_ms = r->latency_ms;
+	out->timeout_ms = r->timeout_ms;
+	out->kind = r->kind;
+	out->n_shares = r->count;
+	out->shares = refs;
 	for (size_t i = 0; i < r->count; i++) {
-		pwf__share__init(&out->shares[i]);
-		out->shares[i].service = r->shares[i].service;
-		out->shares[i].weight = r->shares[i].weight;
-		out->share_refs[i] = &out->shares[i];
+		pwf__share__init(&shares[i]);
+		shares[i].service = r->shares[i].service;
+		shares[i].weight = r->shares[i].weight;
+		refs[i] = &shares[i];
 	}
 }
 
+static size_t
+count_shares(const struct routes *r)
+{
+	size_t count = 0;
+	const struct flow_route *e, *next;
+
+	HASH_ITER(hh, r->table, e, next)
+	{
+		count += e->count;
+	}
+	return count;
+}
+
 /* Write the limits of all services to limits, and references to refs. */
 static void
 services_to_pb(const struct routes *r, Pwf__ServiceLimits *limits,
@@ -58,17 +66,23 @@
 	    mem_new((service_count + 1) * sizeof(*limits));
 	Pwf__ServiceLimits **limit_refs =
 	    mem_new((service_count + 1) * sizeof(Pwf__ServiceLimits *));
-	struct packed_route *packed = mem_new((count + 1) * sizeof(*packed));
+	size_t share_count = count_shares(r);
+	Pwf__Share *shares = mem_new((share_count + 1) * sizeof(*shares));
+	Pwf__Share **share_refs =
+	    mem_new((share_count + 1) * sizeof(Pwf__Share *));
+	Pwf__Route *packed = mem_new((count + 1) * sizeof(*packed));
 	Pwf__Route **refs = mem_new((count + 1) * sizeof(Pwf__Route *));
 	Pwf__Routes all = PWF__ROUTES__INIT;
 	const struct flow_route *e, *next;
 	uint8_t *bytes;
 	size_t n = 0;
+	size_t share = 0;
 
 	HASH_ITER(hh, r->table, e, next)
 	{
-		route_to_pb(&packed[n], e);
-		refs[n] = &packed[n].route;
+		route_to_pb(&packed[n], &shares[share], &share_refs[share], e);
+		refs[n] = &packed[n];
+		share += e->count;
 		n++;
 	}
 	all.version = r->version;
@@ -80,6 +94,8 @@
 	all.services = limit_refs;
 	bytes = mem_new(pwf__routes__get_packed_size(&all) + 1);
 	*len = pwf__routes__pack(&all, bytes);
+	free(shares);
+	free(share_refs);
 	free(packed);
 	free(refs);
 	free(limits);
@@ -87,7 +103,7 @@
 	return bytes;
 }
 
-static bool
+static void
 route_from_pb(const Pwf__Route *r, struct routes *out)
 {
 	struct flow_route *route = routes_add(out, addr_unpack(r->at));
@@ -98,12 +114,9 @@
 	route->timeout_ms = r->timeout_ms;
 	route->kind = r->kind < REQUEST_KINDS ? (enum request_kind)r->kind
 					      : REQUEST_UNKNOWN;
-	for (size_t i = 0; i < r->n_shares; i++) {
-		if (!routes_add_share(
-			route, r->shares[i]->service, r->shares[i]->weight))
-			return false;
-	}
-	return true;
+	for (size_t i = 0; i < r->n_shares; i++)
+		routes_add_share(
+		    route, r->shares[i]->service, r->shares[i]->weight);
 }
 
 bool
@@ -119,7 +132,7 @@
 		out->idle_ms = all->idle_ms;
 	}
 	for (size_t i = 0; ok && i < all->n_routes; i++)
-		ok = route_from_pb(all->routes[i], out);
+		route_from_pb(all->routes[i], out);
 	for (size_t i = 0; ok && i < all->n_services; i++)
 		routes_add_service(
 		    out, &(struct service_limits){
--- a/src/flow/config_check.c
+++ b/src/flow/config_check.c
@@ -229,10 +229,6 @@
 		total += r->shares[i].weight;
 		valid = valid && r->shares[i].weight_valid;
 	}
-	if (r->share_count > ROUTE_SHARES_MAX)
-		config_add_finding(out, true, place,
-		    "%zu shares: at most %d are possible", r->share_count,
-		    ROUTE_SHARES_MAX);
 	if (valid && r->share_count > 0 && total == 0)
 		config_add_finding(
 		    out, true, place, "never matches: all weights are 0");
--- a/src/flow/routes.c
+++ b/src/flow/routes.c
@@ -11,6 +11,7 @@
 	HASH_ITER(hh, r->table, e, next)
 	{
 		HASH_DEL(r->table, e);
+		free(e->shares);
 		free(e);
 	}
 	HASH_ITER(hh, r->services, s, next_service)
@@ -37,8 +38,10 @@
 	struct flow_route *e;
 
 	HASH_FIND(hh, r->table, &key, sizeof(key), e);
-	if (e != NULL)
+	if (e != NULL) {
+		e->count = 0;
 		return e;
+	}
 	e = mem_new(sizeof(*e));
 	e->at = key;
 	e->priority = ROUTE_PRIORITY_UNKNOWN;
@@ -93,13 +96,11 @@
 	       includes_limits(b, a);
 }
 
-bool
+void
 routes_add_share(struct flow_route *to, uint32_t service, uint32_t weight)
 {
-	if (to->count == ROUTE_SHARES_MAX)
-		return false;
+	to->shares = mem_grow(to->shares, to->count + 1, sizeof(*to->shares));
 	to->shares[to->count++] = (struct route_share){service, weight};
-	return true;
 }
 
 bool
--- a/src/flow/routes.h
+++ b/src/flow/routes.h
@@ -10,9 +10,6 @@
 
 #include <uthash.h>
 
-/** Most services among which one address is split. */
-#define ROUTE_SHARES_MAX 8
-
 /** A service and its share of the flows of an address. */
 struct route_share {
 	uint32_t service; /**< flow_service_tag() */
@@ -34,7 +31,7 @@
 /** Route of one service address. */
 struct flow_route {
 	uint64_t at; /**< addr_pack() of the service address */
-	struct route_share shares[ROUTE_SHARES_MAX];
+	struct route_share *shares;
 	size_t count;
 	int priority;	     /**< 0 is the highest; ROUTE_PRIORITY_UNKNOWN */
 	uint32_t latency_ms; /**< target latency of a request; 0 if not stated
@@ -63,7 +60,8 @@
 
 /** Free the routes and reset the struct. */
 void routes_clear(struct routes *r);
-/** Find or add the route of an address; a new route has no shares. */
+/** Add the route of an address, without shares. An earlier one for the same
+ * address is replaced. */
 struct flow_route *routes_add(struct routes *r, struct addr at);
 /** Add the limits of a service, or replace them. */
 void routes_add_service(struct routes *r, const struct service_limits *limits);
@@ -75,8 +73,8 @@
  * version of a process differs from none.
  */
 bool routes_same_limits(const struct routes *a, const struct routes *b);
-/** Add a share to a route; false when it has ROUTE_SHARES_MAX already. */
-bool routes_add_share(struct flow_route *to, uint32_t service, uint32_t weight);
+/** Add a share to a route. */
+void routes_add_share(struct flow_route *to, uint32_t service, uint32_t weight);
 /**
  * Find the route of an address; NULL when there is none.
  * @param at addr_pack() of the address
--- a/tests/flows/nodes.c
+++ b/tests/flows/nodes.c
@@ -65,7 +65,7 @@
 	return service_address(PRIORITY_ADDRESSES + service);
 }
 
-static void
+void
 service_name(unsigned service, char name[FLOW_NAME_MAX])
 {
 	snprintf(name, FLOW_NAME_MAX, "service-%u", service);
--- a/tests/flows/store.h
+++ b/tests/flows/store.h
@@ -24,6 +24,8 @@
 	uint32_t tags[8];
 };
 
+/** Name of a service. */
+void service_name(unsigned service, char name[FLOW_NAME_MAX]);
 /** Id of a node, its present address. */
 uint64_t node_id(unsigned who);
 /** Index of the node with an id, also of an earlier one. */
