codec/settings: names as long as the messages of opaque flows carry

For opaque flows a domain may now have 63 bytes and a service 255; the own protocol's limits are checked as before.

--- a/src/codec/settings.c
+++ b/src/codec/settings.c
@@ -453,6 +453,17 @@
     {"remote_byte_price", read_remote_byte_price, 0},
 };
 
+/* The names of the own protocol are shorter than those of opaque flows. */
+static void
+check_length(struct reader *r, const char *key, size_t cap)
+{
+	json_t *v = json_object_get(r->root, key);
+
+	if (json_string_length(v) >= cap)
+		report_invalid(
+		    r, key, v, "a non-empty string that is not too long");
+}
+
 static const struct key *
 find_key(const char *name)
 {
@@ -479,6 +490,10 @@
 		else
 			k->read(r, name, v);
 	}
+	if (((1U << use) & FOR_FLOWS) == 0) {
+		check_length(r, "domain", MBR_DOMAIN_MAX);
+		check_length(r, "service", CFG_NAME_MAX);
+	}
 	for (size_t i = 0; i < sizeof(keys) / sizeof(keys[0]); i++) {
 		if ((keys[i].required & (1U << use)) == 0)
 			continue;
--- a/src/codec/settings.h
+++ b/src/codec/settings.h
@@ -16,6 +16,9 @@
 #define SETTINGS_SEEDS_MAX 8
 /** Size of a path, URL or name, with its NUL. */
 #define SETTINGS_TEXT_MAX 256
+/** Size of a failure domain's name, with its NUL: as in the messages of opaque
+ * flows. */
+#define SETTINGS_DOMAIN_MAX 64
 
 /** What the settings are for; determines which keys are required. */
 enum settings_use {
@@ -29,7 +32,7 @@
 /** Settings of one process. */
 struct settings {
 	struct addr address; /**< own control endpoint, UDP and TCP */
-	char domain[MBR_DOMAIN_MAX];
+	char domain[SETTINGS_DOMAIN_MAX];
 	struct addr seeds[SETTINGS_SEEDS_MAX];
 	size_t seed_count;
 	char platform[SETTINGS_TEXT_MAX]; /**< base URL */
@@ -41,7 +44,7 @@
 	uint32_t hint_capacity;
 	uint32_t control_budget; /**< bytes per s */
 	uint32_t grace_ms; /**< how long a stopping process still forwards */
-	char service[CFG_NAME_MAX];
+	char service[SETTINGS_TEXT_MAX];
 	struct addr target;
 	uint32_t flow_capacity;
 	bool keep_copies;
