--- a/src/flow/evacuation_reader.c
+++ b/src/flow/evacuation_reader.c
@@ -16,18 +16,17 @@
 	return r->complete;
 }
 
-/* Returns false when there is no room. */
-static bool
+static void
 add_tag(struct evacuation_reader *r, uint32_t tag)
 {
 	for (uint32_t i = 0; i < r->count; i++) {
 		if (r->tags[i] == tag)
-			return true;
+			return;
 	}
 	if (r->count == FLOW_EVACUATED_MAX)
-		return false;
-	r->tags[r->count++] = tag;
-	return true;
+		r->omitted++;
+	else
+		r->tags[r->count++] = tag;
 }
 
 static void
@@ -39,7 +38,7 @@
 	}
 }
 
-static bool
+static void
 apply_items(struct evacuation_reader *r, const struct platform_evacuations *in)
 {
 	for (size_t i = 0; i < in->count; i++) {
@@ -47,10 +46,9 @@
 
 		if (in->items[i].ended)
 			remove_tag(r, tag);
-		else if (!add_tag(r, tag))
-			return false;
+		else
+			add_tag(r, tag);
 	}
-	return true;
 }
 
 /* Forget what was read: the next call lists all evacuations. */
@@ -80,9 +78,10 @@
 	if (in->changes != watched)
 		return begin_list(r, EVACUATION_REJECTED,
 		    "the response is not of the kind of the request");
-	if (!apply_items(r, in))
-		return begin_list(r, EVACUATION_REJECTED,
-		    "too many failure domains are evacuated");
+	if (watched && in->count > 0 && r->omitted > 0)
+		return begin_list(r, EVACUATION_RELIST,
+		    "more failure domains were evacuated than are kept");
+	apply_items(r, in);
 	/* Changes while several pages are read are watched from the first page
 	 * on. */
 	if (watched || !r->paged)
--- a/src/flow/evacuation_reader.h
+++ b/src/flow/evacuation_reader.h
@@ -19,6 +19,8 @@
 	uint32_t count;
 	uint32_t tags[FLOW_EVACUATED_MAX]; /**< tags of the evacuated failure
 					      domains */
+	size_t omitted; /**< further evacuated domains: no room. All are listed
+			   again after the next change */
 };
 
 /** What to do after a response. */
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -16,7 +16,7 @@
 /** Priorities that agents tell apart; lower ones count as the last. */
 #define FLOW_PRIORITIES 16
 /** Most failure domains that may be evacuated at the same time. */
-#define FLOW_EVACUATED_MAX 32
+#define FLOW_EVACUATED_MAX 128
 
 /** Kinds of messages. */
 enum flow_msg_kind {
--- a/src/flow/platform_ops.h
+++ b/src/flow/platform_ops.h
@@ -13,13 +13,15 @@
 #include "flow/target.h"
 
 /** Longest path of a call to the store, including its NUL. */
-#define PLATFORM_PATH_MAX 256
+#define PLATFORM_PATH_MAX 1024
+/** Size of an object's name in the store, with its NUL; as in the settings. */
+#define PLATFORM_NAME_MAX 256
 /** Most balancers' entries in one page of a list from the store. */
-#define PLATFORM_ENTRIES_MAX 1024
+#define PLATFORM_ENTRIES_MAX 512
 
 /** A balancer's entry in the store. */
 struct balancer_entry {
-	char name[FLOW_NAME_MAX];
+	char name[PLATFORM_NAME_MAX];
 	uint64_t id; /**< addr_pack() of its control address */
 	uint64_t revision;
 	bool established; /**< all agents know this address */
@@ -31,8 +33,8 @@
 	size_t malformed; /**< entries that were skipped; other programs may
 			     write them */
 	struct balancer_entry items[PLATFORM_ENTRIES_MAX];
-	bool more;		   /**< another page follows */
-	char after[FLOW_NAME_MAX]; /**< name after which it begins */
+	bool more;		       /**< another page follows */
+	char after[PLATFORM_NAME_MAX]; /**< name after which it begins */
 };
 
 /** A configuration from the store. */
--- a/src/task/store_internal.h
+++ b/src/task/store_internal.h
@@ -63,7 +63,7 @@
 	struct balancer_entry self;
 	bool entry_exists; /**< the next write replaces the own entry */
 	char domain[FLOW_NAME_MAX];
-	char list_after[FLOW_NAME_MAX];
+	char list_after[PLATFORM_NAME_MAX];
 	struct balancer_entry removed;
 	char record_name[FLOW_NAME_MAX]; /**< name of this process's record */
 	bool record_exists;
--- a/src/task/store_operation.c
+++ b/src/task/store_operation.c
@@ -83,7 +83,7 @@
 operation_start(struct operation *op, const char *method, const char *path,
     const char *body, long timeout_ms, fetch_done *done)
 {
-	char url[512];
+	char url[PLATFORM_PATH_MAX + 256];
 	const struct fetch_request request = {.method = method,
 	    .url = url,
 	    .body = body,
--- a/tests/unit/flow_commands.h
+++ b/tests/unit/flow_commands.h
@@ -159,6 +159,7 @@
 void do_packet(const char *arg, const char *body);
 void do_call(const char *arg, const char *body);
 void do_config(const char *arg, const char *body);
+void do_config_path(const char *arg, const char *body);
 void do_members(const char *arg, const char *body);
 void do_record(const char *arg, const char *body);
 void do_mutate(const char *arg, const char *body);
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -120,6 +120,7 @@
     {"packet", do_packet},
     {"call", do_call},
     {"config", do_config},
+    {"config_path", do_config_path},
     {"members", do_members},
     {"mutate", do_mutate},
     {"frames", do_frames},
--- a/tests/unit/script_platform.c
+++ b/tests/unit/script_platform.c
@@ -178,6 +178,18 @@
 	}
 }
 
+/* config_path: prints the call that reads the configuration */
+void
+do_config_path(const char *arg, const char *body)
+{
+	char path[PLATFORM_PATH_MAX];
+
+	(void)arg;
+	(void)body;
+	platform_edge.config_path(path);
+	script_printf("  %s\n", path);
+}
+
 /* config << JSON: the store's reply with the configuration */
 void
 do_config(const char *arg, const char *body)
--- a/tests/unit/store_test.c
+++ b/tests/unit/store_test.c
@@ -151,7 +151,8 @@
 			 body + len, "], \"as_of\": %u}", stand_in.revision);
 }
 
-/* One entry, with a name that exceeds FLOW_NAME_MAX, and always another page.
+/* One entry, with a name that exceeds PLATFORM_NAME_MAX, and always another
+ * page.
  */
 static size_t
 write_entries(void)
@@ -160,7 +161,7 @@
 	if (stand_in.lists_too_large)
 		return write_large();
 	return (size_t)sprintf(body,
-	    "{\"items\": [{\"meta\": {\"name\": \"%0100d\"}}], "
+	    "{\"items\": [{\"meta\": {\"name\": \"%0300d\"}}], "
 	    "\"has_more\": true, \"as_of\": 1}",
 	    7);
 }
