task/store_era: what was read before the store came back from a copy is void

Cause of failures without this: a watch of the configuration goes on from a revision that was given out again and misses a version below it, at all watchers; evacuation_read() ignores what is read at a lower revision; a balancer's entry and an agent's record are missing.

Change: when the era rises, watches begin anew, responses to earlier requests are dropped, the own entry and record are written again; a number made of era and revision orders evacuations.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -74,6 +74,7 @@
 check fetch "$build/tests/fetch-test"
 check target-check "$build/tests/target-check-test"
 check store "$build/tests/store-test"
+check store-era "$build/tests/store-era-test"
 check ablation-patches scripts/ablate.py --check
 for seed in 1 2 3; do
 	check "soak-$seed" "$build/tests/soak" $seed 1000000
--- a/scripts/faultsoak.sh
+++ b/scripts/faultsoak.sh
@@ -89,7 +89,7 @@
 
 inject_random_fault() {
 	local b=$((first_balancer + RANDOM % balancers)) a=$((RANDOM % targets))
-	case $((RANDOM % 11)) in
+	case $((RANDOM % 12)) in
 	0) restart flow_balancer $b KILL ;;
 	1) restart flow_balancer $b TERM ;;
 	2) freeze b$b ;;
@@ -100,6 +100,7 @@
 	7) had_recent_fault "t$a" || { fault "crash $a" && hall crash $a; } ;;
 	8) fault change && hall change && { hall away; sleep 0.3; hall back; } ;;
 	10) change_bounds ;;
+	11) fault restore && hall away && { sleep 0.3; hall restore; hall back; } ;;
 	9) had_recent_fault all || { replace_balancers && fault replace; } ;;
 	esac
 }
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -122,6 +122,8 @@
 	X(STORE_VALUES_BAD, "store_values_bad", \
 	    "malformed objects and unreadable values in responses of the " \
 	    "store, skipped") \
+	X(STORE_ERAS, "store_eras", \
+	    "times that the store came back from a copy") \
 	X(EVACUATIONS_TOLD, "evacuations_told", \
 	    "agents and balancers told of newer evacuations or limits") \
 	X(REFUSE_PRIORITY, "refuse_priority", \
--- a/src/codec/flow.pb-c.c
+++ b/src/codec/flow.pb-c.c
@@ -890,7 +890,7 @@
   (ProtobufCMessageInit) pwf__agent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[18] =
+static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[19] =
 {
   {
     "domain",
@@ -1108,6 +1108,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Balancer, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__balancer__field_indices_by_name[] = {
   5,   /* field[5] = agent_set */
@@ -1125,6 +1137,7 @@
   8,   /* field[8] = near_set */
   2,   /* field[2] = peers */
   11,   /* field[11] = settled */
+  18,   /* field[18] = store_era */
   1,   /* field[1] = version */
   12,   /* field[12] = watch_ok */
   9,   /* field[9] = whole */
@@ -1132,7 +1145,7 @@
 static const ProtobufCIntRange pwf__balancer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor pwf__balancer__descriptor =
 {
@@ -1142,7 +1155,7 @@
   "Pwf__Balancer",
   "pwf",
   sizeof(Pwf__Balancer),
-  18,
+  19,
   pwf__balancer__field_descriptors,
   pwf__balancer__field_indices_by_name,
   1,  pwf__balancer__number_ranges,
--- a/src/codec/flow_wire.c
+++ b/src/codec/flow_wire.c
@@ -55,6 +55,7 @@
 	out.ask = b->ask;
 	out.settled = b->settled;
 	out.known_before = b->known_before;
+	out.store_era = b->store_era;
 	out.capacity = b->capacity;
 	out.watch_ok = b->watch_ok;
 	out.evacuation = b->evacuation;
@@ -288,6 +289,7 @@
 	out->ask = b->ask;
 	out->settled = b->settled;
 	out->known_before = b->known_before;
+	out->store_era = b->store_era;
 	out->capacity = b->capacity;
 	out->watch_ok = b->watch_ok;
 	out->evacuation = b->evacuation;
--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -140,6 +140,8 @@
 	uint64_t told_ns;     /**< latest round of messages to agents */
 	uint32_t told_rounds; /**< rounds that remain */
 	struct refusing_domain refusing_domain;
+	uint64_t store_era;   /**< latest era of the store that any balancer
+				 has stated; 0 for none */
 	bool agents_complete; /**< all agents that it compares, and that ran
 				 when it started, are known */
 	bool remote_agents_complete; /**< the same for all failure domains */
@@ -223,6 +225,9 @@
 bool fb_should_list_entries(struct fb *fb, uint64_t now);
 /** Record the number of entries in a page of the list in the store. */
 void fb_count_entries(struct fb *fb, size_t count);
+/** Record the era of the store. Other balancers are told in heartbeats, as few
+ * of them call the store. */
+void fb_set_store_era(struct fb *fb, uint64_t era);
 /** Whether this balancer knows all agents, and all agents know its address. */
 bool fb_is_established(const struct fb *fb, uint64_t now);
 /** Send a heartbeat to a balancer named by the store, if it is not known. */
--- a/src/flow/balancer_members.c
+++ b/src/flow/balancer_members.c
@@ -215,6 +215,7 @@
 
 	if (e == NULL)
 		return;
+	fb_set_store_era(fb, m->u.balancer.store_era);
 	if (is_new) {
 		event("balancer", "s:s, s:s", "balancer",
 		    addr_text(addr_unpack(m->from), peer), "domain",
@@ -294,6 +295,13 @@
 	}
 }
 
+void
+fb_set_store_era(struct fb *fb, uint64_t era)
+{
+	if (era > fb->store_era)
+		fb->store_era = era;
+}
+
 /* ---- members named by the store ---- */
 
 void
--- a/src/flow/evacuation.c
+++ b/src/flow/evacuation.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+/** Bits of a revision in a stamp. */
+#define ERA_SHIFT 44
 /** Messages a second in which a balancer tells agents and balancers, and the
  * most at once. With 720 balancers before 4,200 agents, each balancer tells 18
  * agents of a change. Some 140 bytes each make 3 KB/s of the 13 KB/s that a
@@ -19,6 +21,12 @@
  * agent whose own domain has balancers. */
 #define REMOTE_POSITION 3
 
+uint64_t
+evacuation_stamp(uint64_t era, uint64_t revision)
+{
+	return era << ERA_SHIFT | (revision & ((UINT64_C(1) << ERA_SHIFT) - 1));
+}
+
 bool
 evacuation_contains(const struct evacuation *e, uint32_t domain_tag)
 {
--- a/src/flow/evacuation.h
+++ b/src/flow/evacuation.h
@@ -28,6 +28,13 @@
 	EVACUATION_SET,	       /**< the set differs */
 };
 
+/**
+ * Combine a store's revision with its era, so that what was read in a later era
+ * counts as newer though its revision is lower. Processes compare and exchange
+ * the result as a revision.
+ * @param era 0 if the store states none: the result is the revision
+ */
+uint64_t evacuation_stamp(uint64_t era, uint64_t revision);
 /** Whether a failure domain is evacuated. */
 bool evacuation_contains(const struct evacuation *e, uint32_t domain_tag);
 /** Whether the set equals a list of tags, in any order and without repetition.
--- a/src/flow/platform_ops.h
+++ b/src/flow/platform_ops.h
@@ -93,6 +93,10 @@
 	/** Body of the response to a heartbeat call. */
 	const char *heartbeat_response;
 
+	/** Header of the store's responses with the number of its era, which
+	 * rises when the store comes back from a copy; NULL if there is none.
+	 */
+	const char *era_header;
 	/** Write the path that reads the configuration. */
 	void (*config_path)(char path[PLATFORM_PATH_MAX]);
 	/**
--- a/src/task/fetch.c
+++ b/src/task/fetch.c
@@ -30,6 +30,7 @@
 	struct idle_connection *idle; /**< the longest idle one comes first */
 	size_t idle_count;
 	struct https_fetcher *https; /**< NULL until it is needed */
+	const char *keep_header;     /**< reported of all responses, or NULL */
 };
 
 struct fetch {
@@ -177,6 +178,14 @@
 	uv_close((uv_handle_t *)&c->timer, on_timer_closed);
 }
 
+void
+fetcher_keep_header(struct fetcher *f, const char *name)
+{
+	f->keep_header = name;
+	if (f->https != NULL)
+		https_fetcher_keep_header(f->https, name);
+}
+
 void
 fetch_cancel(struct fetch *c)
 {
@@ -189,11 +198,13 @@
 finish(struct fetch *c, enum fetch_outcome outcome,
     const struct http_response *response)
 {
-	struct fetch_result r = {.outcome = outcome, .body = "", .etag = ""};
+	struct fetch_result r = {
+	    .outcome = outcome, .body = "", .etag = "", .kept = ""};
 
 	if (response != NULL) {
 		r.status = response->status;
 		r.etag = response->etag;
+		r.kept = response->kept;
 		r.len = response->len;
 		if (response->body != NULL)
 			r.body = response->body;
@@ -260,6 +271,7 @@
 	c->reused = false;
 	c->connection =
 	    http_connection_open(c->owner->loop, c->server, &fetch_ops, c);
+	http_connection_keep_header(c->connection, c->owner->keep_header);
 	http_connection_send(c->connection, c->request);
 	start_timer(c, CONNECT_TIMEOUT_MS);
 }
@@ -315,8 +327,11 @@
 {
 	struct fetcher *f = c->owner;
 
-	if (f->https == NULL)
+	if (f->https == NULL) {
 		f->https = https_fetcher_new(f->loop);
+		if (f->https != NULL)
+			https_fetcher_keep_header(f->https, f->keep_header);
+	}
 	if (f->https == NULL) {
 		event("tls_unavailable", "s:s", "error", "cannot load libcurl");
 		uv_timer_start(&c->timer, on_timer, 0, 0);
--- a/src/task/fetch.h
+++ b/src/task/fetch.h
@@ -37,6 +37,8 @@
 	const char *body; /**< NUL-terminated; valid during the callback */
 	size_t len;
 	const char *etag; /**< ETag of the response, empty if none */
+	const char *kept; /**< value of the header of fetcher_keep_header(),
+			     empty if none */
 };
 
 /** Called once for each request that was not cancelled. */
@@ -57,6 +59,9 @@
 /** Cancel all requests and free the client.
  * @param f may be NULL */
 void fetcher_free(struct fetcher *f);
+/** Report the value of a header of all responses.
+ * @param name borrowed; NULL for none */
+void fetcher_keep_header(struct fetcher *f, const char *name);
 /** Start a request; done is called after this function has returned. */
 struct fetch *fetch_start(struct fetcher *f,
     const struct fetch_request *request, fetch_done *done, void *ctx);
--- a/src/task/flow_balancer_task.c
+++ b/src/task/flow_balancer_task.c
@@ -306,6 +306,8 @@
 
 	fb_tick(&t->fb, now);
 	fetch_newer_config(t, now);
+	fb_set_store_era(&t->fb, store_era(t->store));
+	store_set_era(t->store, t->fb.store_era);
 	store_watch_config(t->store, fb_should_query_store(&t->fb, now));
 	store_watch_evacuations(
 	    t->store, fb_should_watch_evacuations(&t->fb, now));
--- a/src/task/flow_node.c
+++ b/src/task/flow_node.c
@@ -282,5 +282,6 @@
 	    .calls_per_s = n->set.platform_calls_per_s,
 	    .seed = rng_system_seed()};
 
+	fetcher_keep_header(n->fetcher, n->platform_ops->era_header);
 	return store_new(n->loop, n->fetcher, &setup, callbacks, ctx, &n->ctr);
 }
--- a/src/task/http_connection.c
+++ b/src/task/http_connection.c
@@ -20,9 +20,11 @@
 	const struct http_connection_ops *ops;
 	void *ctx;
 	struct http_response response;
-	bool in_etag;	/**< the header field being parsed is the ETag */
-	bool complete;	/**< a response was parsed completely */
-	bool too_large; /**< its body is over HTTP_BODY_MAX_BYTES */
+	const char *keep; /**< name of the header to be kept, or NULL */
+	bool in_etag;	  /**< the header field being parsed is the ETag */
+	bool in_kept;	  /**< it is the one to be kept */
+	bool complete;	  /**< a response was parsed completely */
+	bool too_large;	  /**< its body is over HTTP_BODY_MAX_BYTES */
 	bool closing;
 };
 
@@ -60,6 +62,8 @@
 	struct http_connection *c = p->data;
 
 	c->in_etag = len == strlen(name) && strncasecmp(at, name, len) == 0;
+	c->in_kept = c->keep != NULL && len == strlen(c->keep) &&
+		     strncasecmp(at, c->keep, len) == 0;
 	return 0;
 }
 
@@ -71,6 +75,9 @@
 	if (c->in_etag)
 		str_copy(c->response.etag, sizeof(c->response.etag),
 		    (struct str){at, len});
+	if (c->in_kept)
+		str_copy(c->response.kept, sizeof(c->response.kept),
+		    (struct str){at, len});
 	return 0;
 }
 
@@ -235,6 +242,12 @@
 		fail(c, status);
 }
 
+void
+http_connection_keep_header(struct http_connection *c, const char *name)
+{
+	c->keep = name;
+}
+
 void
 http_connection_send(struct http_connection *c, struct str request)
 {
--- a/src/task/http_connection.h
+++ b/src/task/http_connection.h
@@ -15,12 +15,17 @@
  * megabyte. */
 #define HTTP_BODY_MAX_BYTES ((size_t)1100 * 1024)
 
+/** Size of the value of a header that is kept, with its NUL. */
+#define HTTP_KEPT_MAX 24
+
 /** A response; the connection owns the body. */
 struct http_response {
 	unsigned status;
 	char *body; /**< NUL-terminated; NULL when it is empty */
 	size_t len;
-	char etag[SUB_ID_MAX]; /**< empty if there is none */
+	char etag[SUB_ID_MAX];	  /**< empty if there is none */
+	char kept[HTTP_KEPT_MAX]; /**< value of the header to be kept; empty if
+				     there is none */
 };
 
 struct http_connection;
@@ -46,6 +51,9 @@
 /** Change the callbacks. */
 void http_connection_set_ops(struct http_connection *c,
     const struct http_connection_ops *ops, void *ctx);
+/** Keep the value of a header of the responses.
+ * @param name borrowed, in any case; NULL for none */
+void http_connection_keep_header(struct http_connection *c, const char *name);
 /** Send a request, at once or when the connection is open. The bytes are
  * copied. */
 void http_connection_send(struct http_connection *c, struct str request);
--- a/src/task/https_fetch.c
+++ b/src/task/https_fetch.c
@@ -82,7 +82,8 @@
 	uv_loop_t *loop;
 	CURLM *multi;
 	uv_timer_t timer;
-	uint64_t timeout_ms; /**< loop's time of the latest timeout, or 0 */
+	uint64_t timeout_ms;	 /**< loop's time of the latest timeout, or 0 */
+	const char *keep_header; /**< reported of all responses, or NULL */
 	struct https_fetch *fetches;
 };
 
@@ -119,18 +120,17 @@
 	return n;
 }
 
-static size_t
-on_header(char *data, size_t size, size_t count, void *ctx)
+/* Copy the value if the header has this name. */
+static void
+copy_header(struct str line, const char *name, char *out, size_t cap)
 {
-	static const char name[] = "etag:";
-	struct http_response *response = ctx;
-	struct str line = {data, size * count};
+	size_t len = strlen(name);
 
-	if (line.len < strlen(name) ||
-	    strncasecmp(data, name, strlen(name)) != 0)
-		return size * count;
-	line.p += strlen(name);
-	line.len -= strlen(name);
+	if (line.len <= len || strncasecmp(line.p, name, len) != 0 ||
+	    line.p[len] != ':')
+		return;
+	line.p += len + 1;
+	line.len -= len + 1;
 	while (line.len > 0 && *line.p == ' ') {
 		line.p++;
 		line.len--;
@@ -138,10 +138,28 @@
 	while (line.len > 0 &&
 	       (line.p[line.len - 1] == '\r' || line.p[line.len - 1] == '\n'))
 		line.len--;
-	str_copy(response->etag, sizeof(response->etag), line);
+	str_copy(out, cap, line);
+}
+
+static size_t
+on_header(char *data, size_t size, size_t count, void *ctx)
+{
+	struct https_fetch *c = ctx;
+	struct str line = {data, size * count};
+
+	copy_header(line, "etag", c->response.etag, sizeof(c->response.etag));
+	if (c->owner->keep_header != NULL)
+		copy_header(line, c->owner->keep_header, c->response.kept,
+		    sizeof(c->response.kept));
 	return size * count;
 }
 
+void
+https_fetcher_keep_header(struct https_fetcher *f, const char *name)
+{
+	f->keep_header = name;
+}
+
 static void
 free_fetch(struct https_fetch *c)
 {
@@ -187,7 +205,8 @@
 	struct fetch_result r = {.outcome = to_outcome(code),
 	    .body = c->response.body == NULL ? "" : c->response.body,
 	    .len = c->response.len,
-	    .etag = c->response.etag};
+	    .etag = c->response.etag,
+	    .kept = c->response.kept};
 	long status = 0;
 
 	if (code == CURLE_OPERATION_TIMEDOUT)
@@ -369,7 +388,7 @@
 	api.easy_setopt(c->easy, CURLOPT_WRITEFUNCTION, on_body);
 	api.easy_setopt(c->easy, CURLOPT_WRITEDATA, &c->response);
 	api.easy_setopt(c->easy, CURLOPT_HEADERFUNCTION, on_header);
-	api.easy_setopt(c->easy, CURLOPT_HEADERDATA, &c->response);
+	api.easy_setopt(c->easy, CURLOPT_HEADERDATA, c);
 	DL_APPEND(f->fetches, c);
 	api.multi_add_handle(f->multi, c->easy);
 	return c;
--- a/src/task/https_fetch.h
+++ b/src/task/https_fetch.h
@@ -18,6 +18,9 @@
 /** Cancel all requests and free the client.
  * @param f may be NULL */
 void https_fetcher_free(struct https_fetcher *f);
+/** Report the value of a header of all responses.
+ * @param name borrowed; NULL for none */
+void https_fetcher_keep_header(struct https_fetcher *f, const char *name);
 /** Start a request; done is called after this function has returned. */
 struct https_fetch *https_fetch_start(struct https_fetcher *f,
     const struct fetch_request *request, fetch_done *done, void *ctx);
--- a/src/task/store.c
+++ b/src/task/store.c
@@ -115,6 +115,12 @@
 		on_config_failed(op, slow);
 		return;
 	}
+	if (store_is_outdated(op)) {
+		s->answered = true;
+		s->revision = 0;
+		operation_run_after(op, 0);
+		return;
+	}
 	if (fetch_is_unacceptable(r->outcome)) {
 		s->answered = r->outcome == FETCH_TOO_LARGE;
 		report_watch(s, s->answered);
--- a/src/task/store.h
+++ b/src/task/store.h
@@ -70,6 +70,11 @@
 /** Restart the running watches after this process was suspended, as their
  * connections may be lost. */
 void store_restart_watch(struct store *s);
+/** The latest era of the store, 0 if it states none. */
+uint64_t store_era(const struct store *s);
+/** Record an era that another process has seen, as this one's own responses
+ * would state it. */
+void store_set_era(struct store *s, uint64_t era);
 /** Write the entry of this process; retried until the store has it. */
 void store_announce(
     struct store *s, const struct balancer_entry *self, const char *domain);
--- a/src/task/store_evacuations.c
+++ b/src/task/store_evacuations.c
@@ -1,6 +1,7 @@
 #include "task/store_internal.h"
 
 #include "base/event.h"
+#include "flow/evacuation.h"
 
 /** Pause in ms after the list was read: a balancer that does not watch stops
  * within it. */
@@ -32,8 +33,10 @@
 	const struct evacuation_reader *r = &s->evacuation_reader;
 
 	if (changed != 0)
-		s->callbacks->evacuations(s->ctx, changed, r->tags, r->count);
-	s->callbacks->evacuations(s->ctx, r->revision, r->tags, r->count);
+		s->callbacks->evacuations(s->ctx,
+		    evacuation_stamp(s->era, changed), r->tags, r->count);
+	s->callbacks->evacuations(
+	    s->ctx, evacuation_stamp(s->era, r->revision), r->tags, r->count);
 }
 
 static void
@@ -51,6 +54,11 @@
 			s->evacuation_reader = (struct evacuation_reader){0};
 		return;
 	}
+	if (store_is_outdated(op)) {
+		s->evacuation_reader = (struct evacuation_reader){0};
+		operation_run_after(op, 0);
+		return;
+	}
 	if (r->status == 200)
 		st = s->setup.platform_ops->read_evacuations(
 		    (struct str){r->body, r->len}, &in);
--- a/src/task/store_internal.h
+++ b/src/task/store_internal.h
@@ -28,6 +28,7 @@
 	unsigned failures;
 	uint64_t start_ns;
 	bool pending;
+	uint64_t era; /**< of the store when the latest request began */
 	void (*run)(struct operation *op);
 };
 
@@ -52,6 +53,7 @@
 	unsigned open_handles;
 	uint64_t tokens_milli; /**< requests allowed, times 1000 */
 	uint64_t refilled_ns;
+	uint64_t era;		 /**< of the store; 0 if it states none */
 	uint64_t revision;	 /**< to watch from; 0 to read everything */
 	unsigned rejected_reads; /**< reads of everything in a row whose result
 				    cannot be accepted */
@@ -102,6 +104,12 @@
  */
 bool operation_check_response(
     struct operation *op, const struct fetch_result *r);
+/** Record the era that a response states, if any. In a new one, the watches
+ * begin anew, and what this process has written is written again. */
+void store_note_era(struct store *s, const char *text);
+/** Whether a request began in an earlier era than its response: a watch may
+ * lack changes. */
+bool store_is_outdated(const struct operation *op);
 /** Initialize the operation on the evacuations. */
 void store_init_evacuations(struct store *s, uv_loop_t *loop);
 /** Restart it if a request is in progress. */
--- a/src/task/store_operation.c
+++ b/src/task/store_operation.c
@@ -92,6 +92,7 @@
 	snprintf(url, sizeof(url), "%s%s", op->owner->setup.url, path);
 	ctr_inc(op->owner->ctr, CTR_PLATFORM_CALLS);
 	op->start_ns = now_ns();
+	op->era = op->owner->era;
 	op->fetch = fetch_start(op->owner->fetcher, &request, done, op);
 }
 
@@ -114,6 +115,7 @@
 	    r->outcome == FETCH_RESPONSE && r->status < 500 && r->status != 429;
 
 	op->fetch = NULL;
+	store_note_era(s, r->kept);
 	if (fetch_is_unacceptable(r->outcome)) {
 		reject_response(op, r);
 		return true;
--- a/src/task/web.c
+++ b/src/task/web.c
@@ -119,10 +119,12 @@
 	struct pending_write *r =
 	    mem_new(sizeof(*r) + 256 + response->body.len);
 	int head = snprintf(r->bytes, 256,
-	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n\r\n",
+	    "HTTP/1.1 %d %s\r\nContent-Type: %s\r\n%s%sContent-Length: "
+	    "%zu\r\n\r\n",
 	    response->status,
 	    http_status_str((enum http_status)response->status), response->type,
-	    response->body.len);
+	    response->header == NULL ? "" : response->header,
+	    response->header == NULL ? "" : "\r\n", response->body.len);
 	uv_buf_t buf;
 
 	memcpy(r->bytes + head, response->body.p, response->body.len);
--- a/src/task/web.h
+++ b/src/task/web.h
@@ -28,8 +28,9 @@
 /** A response; initially 404 with an empty body. */
 struct web_response {
 	int status;
-	const char *type; /**< value of Content-Type */
-	struct str body;  /**< copied when the handler returns */
+	const char *type;   /**< value of Content-Type */
+	const char *header; /**< further header, "NAME: VALUE", or NULL */
+	struct str body;    /**< copied when the handler returns */
 };
 
 /** Handle one request; response is sent when the handler returns. */
--- a/tests/standins/testbed.c
+++ b/tests/standins/testbed.c
@@ -7,6 +7,7 @@
  * It reads one command a line from standard input:
  *   change        replace the configuration by a newer version
  *   away, back    begin or end an outage of the store
+ *   restore       return the store to a copy that is some seconds old
  *   leave N       drain target N
  *   crash N       crash target N
  *   break NAME    inject a fault, see names[] in inject_fault()
@@ -79,6 +80,8 @@
 		testbed_store_set_outage(true);
 	else if (strcmp(text, "back") == 0)
 		testbed_store_set_outage(false);
+	else if (strcmp(text, "restore") == 0)
+		testbed_store_restore();
 	else if (sscanf(text, "leave %zu", &n) == 1)
 		testbed_target_drain(n % testbed.targets);
 	else if (sscanf(text, "crash %zu", &n) == 1)
--- a/tests/standins/testbed.h
+++ b/tests/standins/testbed.h
@@ -105,6 +105,9 @@
 void testbed_store_increment_version(void);
 /** Get the latest version of the configuration. */
 unsigned testbed_store_version(void);
+/** Return the store to a copy that is some seconds old: what processes have
+ * written since is gone, revisions go back, and a new era begins. */
+void testbed_store_restore(void);
 /** Begin or end an outage, in which the store answers 503 alone. */
 void testbed_store_set_outage(bool outage);
 /** Open the targets; exits on failure. */
--- a/tests/standins/testbed_store.c
+++ b/tests/standins/testbed_store.c
@@ -7,6 +7,8 @@
 
 #define ENTRIES_MAX 64
 #define IDLE_SHARES_RANGE 41
+/** Interval in which the store is copied, in ms. */
+#define COPY_INTERVAL_MS 4000
 
 static struct {
 	struct testbed *testbed;
@@ -14,6 +16,13 @@
 	unsigned revision;
 	unsigned version;
 	bool outage;
+	unsigned era; /* rises when the store comes back from a copy */
+	char era_header[32];
+	struct {
+		uint64_t at_ms;
+		unsigned revision;
+		size_t count;
+	} copy; /* some seconds old */
 	char body[16384];
 	struct {
 		char name[64];
@@ -94,6 +103,11 @@
 			"as_of", (int)store.revision));
 		return;
 	}
+	if (strtoul(watch + 6, NULL, 10) > store.revision) {
+		json_decref(list);
+		out->status = 410;
+		return;
+	}
 	if (strtoul(watch + 6, NULL, 10) < store.revision)
 		json_array_append_new(list,
 		    json_pack("{s:b, s:o}", "deleted", 0, "object", config()));
@@ -134,6 +148,36 @@
 	json_decref(root);
 }
 
+static void
+replace_entry(const char *name, const struct web_request *request,
+    struct web_response *out)
+{
+	json_t *root = json_loadb(request->body.p, request->body.len, 0, NULL);
+
+	for (size_t i = 0; i < store.count; i++) {
+		if (strcmp(store.entries[i].name, name) != 0)
+			continue;
+		json_decref(store.entries[i].spec);
+		store.entries[i].spec =
+		    json_incref(json_object_get(root, "spec"));
+		reply(out, 200, entry(i));
+	}
+	json_decref(root);
+}
+
+/* Takes a copy every few seconds, to which testbed_store_restore() returns. */
+static void
+update_copy(void)
+{
+	uint64_t now = testbed_now_ms();
+
+	if (now < store.copy.at_ms + COPY_INTERVAL_MS)
+		return;
+	store.copy.at_ms = now;
+	store.copy.revision = store.revision;
+	store.copy.count = store.count;
+}
+
 static void
 list_entries(struct web_response *out)
 {
@@ -152,16 +196,24 @@
 on_request(
     void *ctx, const struct web_request *request, struct web_response *out)
 {
+	static const char entries[] = "/v1/objects/balancers/";
 	char path[WEB_PATH_MAX + 1];
 
 	(void)ctx;
 	str_copy(path, sizeof(path), request->path);
+	snprintf(store.era_header, sizeof(store.era_header), "Store-Era: %u",
+	    store.era);
+	out->header = store.era_header;
+	update_copy();
 	if (store.outage)
 		out->status = 503;
 	else if (strncmp(path, "/v1/objects/config", 18) == 0)
 		on_config(path, out);
 	else if (str_is(request->method, "POST"))
 		create_entry(request, out);
+	else if (str_is(request->method, "PUT") &&
+		 strncmp(path, entries, strlen(entries)) == 0)
+		replace_entry(path + strlen(entries), request, out);
 	else if (strncmp(path, "/v1/objects/balancers", 21) == 0)
 		list_entries(out);
 }
@@ -174,6 +226,7 @@
 	store.testbed = h;
 	store.version = 1;
 	store.revision = 1;
+	store.era = 1;
 	st = web_open(&store.web, h->loop, testbed_addr(h, 0, 0, PORT_STORE),
 	    on_request, NULL);
 	if (st.code != STATUS_OK) {
@@ -195,6 +248,16 @@
 	store.outage = outage;
 }
 
+void
+testbed_store_restore(void)
+{
+	while (store.count > store.copy.count)
+		json_decref(store.entries[--store.count].spec);
+	/* The operator writes the configuration again. */
+	store.revision = store.copy.revision + 1;
+	store.era++;
+}
+
 unsigned
 testbed_store_version(void)
 {
