--- a/tests/unit/store_era_test.c
+++ b/tests/unit/store_era_test.c
@@ -1,8 +1,8 @@
 /**
  * @file store_era_test.c
- * The client of the platform's store against a stand-in that comes back from a
- * copy some seconds old: revisions go back and are given out again, and its
- * responses state the next era.
+ * The client of the platform's store against a stand-in that keeps its entry,
+ * and that comes back from a copy some seconds old: revisions go back and are
+ * given out again, and its responses state the next era.
  */
 #include "base/clock.h"
 #include "platform.h"
@@ -32,7 +32,10 @@
 	unsigned changed; /* revision of its latest change */
 	bool evacuated;	  /* the failure domain "east" */
 	unsigned evacuation_changed;
+	bool own_entry; /* the own entry exists, from an earlier process */
+	bool own_established;
 	unsigned posts;
+	uint64_t puts;
 	unsigned gone; /* responses with status 410 */
 } stand_in;
 
@@ -42,6 +45,7 @@
 	uint64_t evacuation;
 	uint64_t evacuated;
 	uint64_t listed;
+	unsigned established;
 	uint64_t lost_records;
 } seen;
 
@@ -75,6 +79,28 @@
 	    stand_in.revision);
 }
 
+static void
+answer_write(const struct web_request *request, struct web_response *response)
+{
+	static const char established[] = "\"established\":true";
+
+	if (str_is(request->method, "PUT")) {
+		stand_in.puts++;
+		stand_in.own_established =
+		    memmem(request->body.p, request->body.len, established,
+			strlen(established)) != NULL;
+		return;
+	}
+	stand_in.posts++;
+	if (!stand_in.own_entry)
+		return;
+	response->status = 409;
+	response->body.len = (size_t)snprintf(body, sizeof(body),
+	    "{\"meta\": {\"name\": \"b1\", \"revision\": 9}, \"spec\": "
+	    "{\"address\": \"10.1.0.1:7700\", \"established\": %s}}",
+	    stand_in.own_established ? "true" : "false");
+}
+
 /* A watch from a revision that the store does not have gets 410. */
 static void
 answer_watch(
@@ -109,7 +135,7 @@
 	response->header = era_header;
 	response->body = (struct str){body, 0};
 	if (!str_is(request->method, "GET"))
-		stand_in.posts++;
+		answer_write(request, response);
 	else if (watch != NULL)
 		answer_watch((unsigned)strtoul(watch + 6, NULL, 10), config,
 		    stand_in.changed, response);
@@ -143,7 +169,7 @@
 on_announced(void *ctx, bool was_established)
 {
 	(void)ctx;
-	(void)was_established;
+	seen.established += was_established;
 	seen.listed++;
 }
 
@@ -287,6 +313,43 @@
 	run_until(&seen.lost_records, 1);
 }
 
+/* Guards against a restarted balancer that does not learn whether all agents
+ * know its address: with all others new, it could not tell which agents run. */
+static void
+test_own_entry_established(void **state)
+{
+	struct balancer_entry self = {
+	    .name = "b1", .id = addr_pack((struct addr){0x0a010001, 7700})};
+
+	(void)state;
+	stand_in.own_entry = true;
+	store_announce(store, &self, "east");
+	run_until(&seen.listed, 1);
+	assert_int_equal(seen.established, 0);
+	assert_int_equal(stand_in.puts, 0);
+	self.established = true;
+	store_announce(store, &self, "east");
+	run_until(&seen.listed, 2);
+	assert_int_equal(stand_in.puts, 1);
+	assert_true(stand_in.own_established);
+}
+
+/* The next process at this address. */
+static void
+test_entry_of_earlier_process(void **state)
+{
+	const struct balancer_entry self = {
+	    .name = "b1", .id = addr_pack((struct addr){0x0a010001, 7700})};
+
+	(void)state;
+	stand_in.own_entry = true;
+	stand_in.own_established = true;
+	store_announce(store, &self, "east");
+	run_until(&seen.listed, 1);
+	assert_int_equal(seen.established, 1);
+	assert_int_equal(stand_in.puts, 0);
+}
+
 /* The first era that is stated is none that the store has come back in. */
 static void
 test_first_era(void **state)
@@ -313,6 +376,10 @@
 		test_evacuation_at_lower_revision, open_store, close_store),
 	    cmocka_unit_test_setup_teardown(
 		test_written_again, open_store, close_store),
+	    cmocka_unit_test_setup_teardown(
+		test_own_entry_established, open_store, close_store),
+	    cmocka_unit_test_setup_teardown(
+		test_entry_of_earlier_process, open_store, close_store),
 	    cmocka_unit_test_setup_teardown(
 		test_first_era, open_store, close_store)};
 
--- a/tests/unit/store_test.c
+++ b/tests/unit/store_test.c
@@ -50,8 +50,6 @@
 	unsigned old_watches; /* watches from a revision before the present */
 	bool foreign_objects; /* unreadable ones among the others */
 	unsigned lists;
-	bool own_entry; /* the own entry exists, from an earlier process */
-	bool own_established;
 	unsigned posts;
 	uint64_t puts;
 	unsigned records;
@@ -182,30 +180,19 @@
 			 "\"has_more\": false, \"as_of\": 5}");
 }
 
-/* The entry exists until it is replaced, and is another program's unless it is
- * from an earlier process at the same address. */
+/* The entry exists until it is replaced, and is another program's. */
 static void
 write_entry(const struct web_request *request, struct web_response *response)
 {
 	if (str_is(request->method, "PUT")) {
 		stand_in.puts++;
-		stand_in.own_established =
-		    memmem(request->body.p, request->body.len,
-			"\"established\":true", 18) != NULL;
 		response->status = 200;
 		response->body.len = 0;
 		return;
 	}
 	stand_in.posts++;
 	response->status = 409;
-	response->body.len =
-	    stand_in.own_entry
-		? (size_t)sprintf(body,
-		      "{\"meta\": {\"name\": \"other\", \"revision\": 9}, "
-		      "\"spec\": {\"address\": \"10.1.0.1:7700\", "
-		      "\"established\": %s}}",
-		      stand_in.own_established ? "true" : "false")
-		: write_foreign(body);
+	response->body.len = write_foreign(body);
 }
 
 static void
@@ -525,12 +512,6 @@
 	close_store();
 }
 
-static void
-run_until_announced(uint64_t times)
-{
-	run_until(&seen.announced, times, TEST_TIMEOUT_MS);
-}
-
 /* Guards against a balancer whose entry is never written, because another
  * program has left an unreadable one of its name. */
 static void
@@ -550,40 +531,6 @@
 	close_store();
 }
 
-/* Guards against a restarted balancer that does not learn whether all agents
- * know its address: with all others new, it could not tell which agents run. */
-static void
-test_own_entry_established(void **state)
-{
-	struct balancer_entry self = {
-	    .name = "other", .id = addr_pack((struct addr){0x0a010001, 7700})};
-
-	(void)state;
-	open_store();
-	stand_in.own_entry = true;
-	store_announce(store, &self, "east");
-	run_until_announced(1);
-	assert_int_equal(seen.established, 0);
-	assert_int_equal(stand_in.puts, 0);
-	self.established = true;
-	store_announce(store, &self, "east");
-	run_until(&stand_in.puts, 1, TEST_TIMEOUT_MS);
-	run_until_announced(2);
-	assert_true(stand_in.own_established);
-	close_store();
-
-	/* The next process at this address. */
-	open_store();
-	stand_in.own_entry = true;
-	stand_in.own_established = true;
-	self.established = false;
-	store_announce(store, &self, "east");
-	run_until_announced(1);
-	assert_int_equal(seen.established, 1);
-	assert_int_equal(stand_in.puts, 0);
-	close_store();
-}
-
 /* Guards against a record that is too large and is read without end, so that
  * the agent never learns that there is no usable record. */
 static void
@@ -726,7 +673,6 @@
 	    cmocka_unit_test(test_entries),
 	    cmocka_unit_test(test_foreign_objects),
 	    cmocka_unit_test(test_own_entry_unreadable),
-	    cmocka_unit_test(test_own_entry_established),
 	    cmocka_unit_test(test_record_too_large),
 	    cmocka_unit_test(test_watch_cut_off),
 	    cmocka_unit_test(test_single_failure_is_not_reported),
