flow/balancer_members: a list of agents counts once all of its parts came

It matters with more than 64 agents in the scope.

Change: the parts since the last list add up; the list counts if they have as many agents as the balancer has stated.

--- a/src/flow/balancer_members.c
+++ b/src/flow/balancer_members.c
@@ -243,6 +243,18 @@
 		    (int)p->age_ms);
 }
 
+/* Whether this is the last part of a balancer's list of agents, the only one
+ * that is not full, and no earlier part was lost. */
+static bool
+is_list_complete(struct peer *from, const struct msg_peers *list)
+{
+	size_t listed = from->listed + list->count;
+
+	from->listed = list->count == FLOW_PEERS_MAX ? listed : 0;
+	return list->count < FLOW_PEERS_MAX &&
+	       listed >= (list->near ? from->local.count : from->all.count);
+}
+
 /* Send a heartbeat to each reported agent that is unknown here, which makes it
  * answer with its own. */
 static void
@@ -267,8 +279,7 @@
 			    fb, m->from, &list->peers[i], now);
 		fb_send_heartbeat(fb, list->peers[i].id, now);
 	}
-	/* Only the last part of a list is not full. */
-	if (from == NULL || list->count == FLOW_PEERS_MAX)
+	if (from == NULL || !is_list_complete(from, list))
 		return;
 	peers_mark_received(from, &from->local);
 	if (!list->near)
--- a/src/flow/peers.c
+++ b/src/flow/peers.c
@@ -104,7 +104,6 @@
 void
 peers_mark_received(const struct peer *e, struct agent_summary *set)
 {
-	set->received = set->count;
 	set->was_complete |=
 	    e->agents_complete && (e->all_domains || set == &e->local);
 }
--- a/src/flow/peers.h
+++ b/src/flow/peers.h
@@ -22,12 +22,9 @@
 /** The recent agents of a balancer, all or those of one failure domain. */
 struct agent_summary {
 	uint32_t count;
-	uint64_t digest; /**< digest of their ids */
-	/** Value of count when the peer's list of them was received, or when
-	 * the digests were equal; 0 for never. */
-	uint32_t received;
-	bool was_complete; /**< the peer knew all agents when `received` was
-			      set */
+	uint64_t digest;   /**< digest of their ids */
+	bool was_complete; /**< the peer knew all agents when its list of them
+			      was received, or when the digests were equal */
 };
 
 /** A balancer. */
@@ -59,6 +56,8 @@
 	struct gossip_sent sent_peers; /**< latest list of balancers sent */
 	struct gossip_sent sent_agents; /**< latest list of agents sent */
 	size_t next_agent; /**< where the next part of that list begins */
+	size_t listed;	   /**< agents in the parts of its list received so far
+			    */
 	UT_hash_handle hh;
 };
 
