flow/balancer_search: revert the guard of probes at a new address

Cause: the guard held back probes at balancers whose address was not known before. After a kill of all processes with their targets running, that is so for balancers that were added shortly before, and for all while the store is away; probes are then what finds the flows.

--- a/src/flow/balancer_coverage.c
+++ b/src/flow/balancer_coverage.c
@@ -121,8 +121,8 @@
  * are known; agents that start later send it heartbeats themselves. Once true,
  * this stays true.
  */
-bool
-fb_check_agents_complete(struct fb *fb, uint64_t now)
+static bool
+check_agents_complete(struct fb *fb, uint64_t now)
 {
 	struct comparison c;
 
@@ -189,8 +189,8 @@
 		return UNCERTAINTY_AGENT_REPORTED;
 	if (has_unconfirmed_loss(fb, now))
 		return UNCERTAINTY_LISTS_MISSING;
-	return fb_check_agents_complete(fb, now) ? UNCERTAINTY_NONE
-						 : UNCERTAINTY_LISTS_MISSING;
+	return check_agents_complete(fb, now) ? UNCERTAINTY_NONE
+					      : UNCERTAINTY_LISTS_MISSING;
 }
 
 /* Why not all agents of the other failure domains may be known. */
@@ -238,7 +238,7 @@
 fb_tick_coverage(struct fb *fb, uint64_t now)
 {
 	if (fb_is_warm(fb, now))
-		fb_check_agents_complete(fb, now);
+		check_agents_complete(fb, now);
 }
 
 enum uncertainty
--- a/src/flow/balancer_internal.h
+++ b/src/flow/balancer_internal.h
@@ -57,8 +57,6 @@
     struct fb *fb, const struct search *e, uint64_t now);
 /** Name of an uncertainty in the log; empty for none. */
 const char *fb_uncertainty_name(enum uncertainty u);
-/** Whether all agents that it compares with other balancers are known. */
-bool fb_check_agents_complete(struct fb *fb, uint64_t now);
 /** Periodic work: note when all agents are known. */
 void fb_tick_coverage(struct fb *fb, uint64_t now);
 /** The delegates of all failure domains, updated once per tick. */
--- a/src/flow/balancer_search.c
+++ b/src/flow/balancer_search.c
@@ -214,18 +214,6 @@
 	searches_remove(&fb->searches, e);
 }
 
-/*
- * A probe of a flow that another agent's target holds is lost on a target that
- * does not. While this balancer may not know that agent, since no agent knew
- * this address before, probes would go to others alone. The caller's next
- * packet is a probe once all agents are known.
- */
-static bool
-may_probe(struct fb *fb, uint64_t now)
-{
-	return fb->coverage.known_before || fb_check_agents_complete(fb, now);
-}
-
 static void
 send_probe(struct fb *fb, const struct search *e, const struct agent_view *v,
     struct str bytes)
@@ -243,7 +231,7 @@
 probe_again(
     struct fb *fb, struct search *e, const struct flow_packet *p, uint64_t now)
 {
-	if (e->probing == 0 || p->bytes.len == 0 || !may_probe(fb, now) ||
+	if (e->probing == 0 || p->bytes.len == 0 ||
 	    !fb_has_elapsed(e->last_query_ns, SEARCH_PROBE_TIMEOUT_MS, now))
 		return;
 	e->last_query_ns = now;
@@ -328,8 +316,7 @@
 		finish_found(fb, e, v, now);
 		return;
 	}
-	if (search_handle_reply(e, v->id, found->where) && e->held_count > 0 &&
-	    may_probe(fb, now))
+	if (search_handle_reply(e, v->id, found->where) && e->held_count > 0)
 		send_probe(
 		    fb, e, v, (struct str){e->held[0]->bytes, e->held[0]->len});
 	fb_continue_search(fb, e, now);
