tests/standins: room in the store for the entries and records of 100 processes

faultsoak.sh 402 30 100 ended stuck, with 8 balancers behind: the stand-in's store had 64 places for balancers' entries and agents' records together, so that those of the balancers that replaced the first ones were never stored.

--- a/tests/standins/testbed_store.c
+++ b/tests/standins/testbed_store.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define ENTRIES_MAX 64
+#define ENTRIES_MAX 512
 #define IDLE_SHARES_RANGE 41
 /** Interval in which the store is copied, in ms. */
 #define COPY_INTERVAL_MS 4000
@@ -23,7 +23,7 @@
 		unsigned revision;
 		size_t count;
 	} copy; /* some seconds old */
-	char body[16384];
+	char body[131072];
 	struct {
 		char name[64];
 		json_t *spec;
