--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -133,9 +133,13 @@
 	check "flow-run-priorities-faults-$seed" \
 	    "$build/tests/flow-run" $seed 10 9 24 priorities faults
 done
-for invariant in 1 2 3 4 5 6 7 8 9 13 21; do
+for invariant in 1 2 3 5 6 7 8 9 21; do
 	check "flow-broken-$invariant" check_flow_broken $invariant
 done
+# The faults that these two depend on are rare: with fewer of them, a seed may miss
+# the break.
+check flow-broken-4 check_flow_broken 4 faults 9 24 150
+check flow-broken-13 check_flow_broken 13 faults 9 24 400
 check flow-broken-1-replace check_flow_broken 1 replace
 check flow-broken-10 check_flow_broken 10 power
 check flow-broken-11 check_flow_broken 11 away
