--- a/review/standins-3/bed.c
+++ b/review/standins-3/bed.c
@@ -86,7 +86,13 @@
 
 struct flow {
 	/** CLOSING: the client has given up and sent its FIN */
-	enum { CLOSED, OPENING, OPEN, WAITING, CLOSING } state;
+	enum {
+		CLOSED,
+		OPENING,
+		OPEN,
+		WAITING,
+		CLOSING
+	} state;
 	uint16_t port;
 	uint32_t seq, ack;
 	unsigned copies, requests;
@@ -302,8 +308,9 @@
 		return;
 	f->counted_stray = true;
 	strays++;
-	note("BROKEN: for %llu ms %zu packets of the open flow %u reached other "
-	     "endpoints than %u, and none reached it",
+	note(
+	    "BROKEN: for %llu ms %zu packets of the open flow %u reached other "
+	    "endpoints than %u, and none reached it",
 	    (unsigned long long)(now - first), others, f->port, f->endpoint);
 }
 
@@ -398,8 +405,7 @@
 		    "\"ready\",\"cold_remaining_ms\":0,\"sequence\":%u,"
 		    "\"born\":%llu}",
 		    net, e->n, PORT_ENDPOINT, sequence, born);
-		http_call(
-		    ip_of(2, e->n), PORT_HEARTBEATS, "PUT", path, body);
+		http_call(ip_of(2, e->n), PORT_HEARTBEATS, "PUT", path, body);
 		usleep(HEARTBEAT_MS * 1000);
 	}
 	return NULL;
@@ -535,8 +541,8 @@
 		begin_request(f);
 		return;
 	}
-	snprintf(expected, sizeof(expected), "answers q%u.%u", f->port,
-	    f->requests);
+	snprintf(
+	    expected, sizeof(expected), "answers q%u.%u", f->port, f->requests);
 	if (f->state != WAITING || p.len == 0 ||
 	    strstr(p.data, expected) == NULL)
 		return;
@@ -897,8 +903,7 @@
 		struct endpoint *e = &endpoints[i];
 
 		e->n = i + 1;
-		e->udp =
-		    open_socket(SOCK_DGRAM, ip_of(2, e->n), PORT_ENDPOINT);
+		e->udp = open_socket(SOCK_DGRAM, ip_of(2, e->n), PORT_ENDPOINT);
 		e->tcp =
 		    open_socket(SOCK_STREAM, ip_of(2, e->n), PORT_ENDPOINT);
 		fds[i] = (struct pollfd){e->udp, POLLIN, 0};
@@ -926,9 +931,8 @@
 			fflush(stdout);
 			reply = NULL;
 		}
-		if (reply == NULL &&
-		    (fds[endpoint_count + 1].revents & (POLLIN | POLLHUP)) !=
-			0) {
+		if (reply == NULL && (fds[endpoint_count + 1].revents &
+					 (POLLIN | POLLHUP)) != 0) {
 			if (fgets(line, sizeof(line), stdin) == NULL)
 				return 0;
 			if (!run_command(line, &reply))
