--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -3,9 +3,12 @@
 # beside endpoints are stopped and started in turn; the endpoints live on.
 # Clients use their open flows when the new balancers are in rotation.
 # TROUBLE=0: nothing is stopped.
+# What was sent, answered and run is written to record.txt beside this script.
 # shellcheck disable=SC2034
+here=$(cd "$(dirname "$0")" && pwd)
+record=$here/record.txt
 net=${NET:-191} balancers=6 agents=10 flows=80 first=3
-. "$(dirname "$0")/../standins-3/lab.sh"
+. "$here/../standins-3/lab.sh"
 
 in_rotation() { # N
 	grep -q "balancer $1 is in rotation" "$record"
--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,9 +3,12 @@
 # balancers are stopped and started again at the same time; the endpoints and
 # the nodes beside them have no disruption. Clients use their open flows when
 # the balancers are in rotation again. TROUBLE=0: the balancers stay.
+# What was sent, answered and run is written to record.txt beside this script.
 # shellcheck disable=SC2034
+here=$(cd "$(dirname "$0")" && pwd)
+record=$here/record.txt
 net=${NET:-192} balancers=2 agents=12 flows=96
-. "$(dirname "$0")/../standins-3/lab.sh"
+. "$here/../standins-3/lab.sh"
 
 rotations() {
 	grep -c "is in rotation" "$record"
--- a/review/standins-3/bed.c
+++ b/review/standins-3/bed.c
@@ -35,8 +35,7 @@
 #define PORT_HEARTBEATS 8166
 #define PORT_OUTBOUND 8162
 #define PORT_ENDPOINT 8080
-/** Address and port of the one route. */
-#define ROUTE_IP 0xc6120001U /* 198.18.0.1 */
+/** Port of the one route; its address is 127.NET.9.1. */
 #define ROUTE_PORT 8443
 
 #define HEARTBEAT_MS 1200
@@ -474,7 +473,7 @@
 	struct packet p = {.seq = f->seq,
 	    .ack = (flags & SYN) != 0 ? f->copies : f->ack,
 	    .src = ip_of(4, 1),
-	    .dst = ROUTE_IP,
+	    .dst = ip_of(9, 1),
 	    .sport = f->port,
 	    .dport = ROUTE_PORT,
 	    .flags = (uint8_t)flags,
@@ -586,15 +585,17 @@
 
 /* ---- store ---- */
 
-static const char config[] =
+static const char config_format[] =
     "{\"meta\":{\"name\":\"main\",\"revision\":5,\"created_at\":1,"
     "\"finalizers\":[],\"delete_requested\":false},\"spec\":{\"version\":7,"
-    "\"routes\":[{\"name\":\"r\",\"host\":\"198.18.0.1\",\"path_prefix\":"
+    "\"routes\":[{\"name\":\"r\",\"host\":\"127.%u.9.1\",\"path_prefix\":"
     "\"/8443/\",\"type\":\"download\",\"timeout_ms\":3000,"
     "\"target_latency_ms\":500,\"priority\":2,\"service\":\"desk\","
     "\"max_attempts\":2}],\"services\":[{\"name\":\"desk\",\"health_path\":"
     "\"/health\",\"max_connections\":2000,\"protocol\":\"h1\",\"tls\":false}],"
     "\"limits\":{\"idle_timeout_ms\":15000}},\"status\":null}";
+/** The configuration as the store holds it. */
+static char config[sizeof(config_format) + 16];
 
 /** An object that the system wrote; bodies are kept as they came. */
 struct object {
@@ -896,6 +897,7 @@
 	if (record == NULL || balancer_count > BALANCERS_MAX ||
 	    endpoint_count > ENDPOINTS_MAX || flow_count > FLOWS_MAX)
 		return 64;
+	snprintf(config, sizeof(config), config_format, net);
 	listener = open_socket(SOCK_STREAM, ip_of(0, 1), PORT_STORE);
 	begin_thread(run_store, (void *)(size_t)listener);
 	client = open_socket(SOCK_DGRAM, ip_of(4, 1), PORT_PACKETS);
--- a/review/standins-3/lab.sh
+++ b/review/standins-3/lab.sh
@@ -1,13 +1,11 @@
 # Functions of the scripts: start the system's processes around the stand-in
-# bed, on loopback addresses 127.NET.KIND.N, and end all of them. Set net,
+# bed, on loopback addresses 127.NET.KIND.N, and end all of them. Set record, net,
 # balancers, agents and flows before sourcing this file.
 # shellcheck shell=bash
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
-here=$(cd "$(dirname "$0")" && pwd)
 cd "$root" || exit 2
 pw=target/persimmonwinch
 bed=target/review-3-bed
-record=$here/record.txt
 declare -A pid_of
 pids=()
 
