flow/heartbeat_period: periods of agents' heartbeats in a module

A balancer that has to wait for the slowest agents needs the period of agents that it has not heard from, which follows from the number of balancers. The computation was private to the agent.

--- a/src/flow/agent_control.c
+++ b/src/flow/agent_control.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/event.h"
+#include "flow/heartbeat_period.h"
 #include "flow/isolation.h"
 
 /** Openings that the target has not answered within this, in ms, are refused: a
@@ -9,34 +10,13 @@
 #define OPENING_TIMEOUT_MS 100
 /** After a longer gap between ticks, in ms, answers may lie unread. */
 #define TICK_GAP_MS 150
-/** Period of heartbeats to balancers of the local failure domain, in ms: a
- * base, and an addition for each balancer there, larger for those beyond
- * SMALL_PEER_COUNT. */
-#define HEARTBEAT_MS 400
-#define HEARTBEAT_PER_PEER_MS 25
-#define SMALL_PEER_COUNT 16
-#define HEARTBEAT_PER_FURTHER_PEER_MS 130
-#define HEARTBEAT_MAX_MS 60000
-/** The period for balancers of other failure domains is this many times as
- * long: traffic between domains is expensive, and these balancers use this
- * agent only when the agents of their own domain are full. */
-#define REMOTE_PERIOD_FACTOR 3
-/** The addition to the remote period for each balancer beyond
- * FEW_BALANCERS_MAX, before the factor, in ms. */
-#define REMOTE_HEARTBEAT_PER_PEER_MS 60
-/** Period in the first STARTUP_MS, while balancers are still being discovered,
- * in ms, and its least value for each balancer, so that many agents that start
- * together do not flood the balancers. */
-#define STARTUP_HEARTBEAT_MS 250
-#define STARTUP_HEARTBEAT_PER_PEER_MS 10
+/** Time after the start in which balancers are still being discovered, in ms.
+ */
 #define STARTUP_MS 3000
 /** Until a balancer has replied, and at most for this, in ms, seeds get a
  * heartbeat every tick: machines that are started together are up within some
  * seconds of each other. */
 #define SEED_WAIT_MS 10000
-/** With at most this many balancers, an agent that has just started sends
- * heartbeats to remote balancers as often as to local ones. */
-#define FEW_BALANCERS_MAX 32
 /** Time between two checks of the target, in ms. */
 #define CHECK_INTERVAL_MS 500
 /** The target is checked when no packet came from it for this, in ms, after a
@@ -52,64 +32,28 @@
 /** Period in which idle flows are removed, in ms. */
 #define EXPIRE_INTERVAL_MS 1000
 
-static uint64_t
-heartbeat_period_ms(uint64_t count)
-{
-	uint64_t further =
-	    count > SMALL_PEER_COUNT ? count - SMALL_PEER_COUNT : 0;
-	uint64_t ms = HEARTBEAT_MS + HEARTBEAT_PER_PEER_MS * (count - further) +
-		      HEARTBEAT_PER_FURTHER_PEER_MS * further;
-
-	return ms < HEARTBEAT_MAX_MS ? ms : HEARTBEAT_MAX_MS;
-}
-
-static uint64_t
-remote_round_ms(uint64_t known)
-{
-	uint64_t further =
-	    known > FEW_BALANCERS_MAX ? known - FEW_BALANCERS_MAX : 0;
-
-	return HEARTBEAT_MS + HEARTBEAT_PER_PEER_MS * (known - further) +
-	       REMOTE_HEARTBEAT_PER_PEER_MS * further;
-}
-
-static uint64_t
-startup_period_ms(uint64_t count)
+static bool
+is_starting(const struct fa *fa, uint64_t now)
 {
-	uint64_t ms = STARTUP_HEARTBEAT_PER_PEER_MS * count;
-
-	return ms > STARTUP_HEARTBEAT_MS ? ms : STARTUP_HEARTBEAT_MS;
+	return !fa_has_elapsed(fa->target.agent_started_ns, STARTUP_MS, now);
 }
 
-/* The period grows with the number of balancers, so that the heartbeats that an
- * agent sends do not. */
 static uint64_t
 local_period_ms(const struct fa *fa, uint64_t now)
 {
 	uint64_t local = peers_count_local(&fa->peers);
-	uint64_t ms = heartbeat_period_ms(local);
-	uint64_t startup_ms = startup_period_ms(local);
 
-	return fa_has_elapsed(fa->target.agent_started_ns, STARTUP_MS, now) ||
-		       ms < startup_ms
-		   ? ms
-		   : startup_ms;
+	return is_starting(fa, now) ? heartbeat_startup_local_ms(local)
+				    : heartbeat_local_ms(local);
 }
 
 static uint64_t
 remote_period_ms(const struct fa *fa, uint64_t now)
 {
 	uint64_t known = peers_count(&fa->peers);
-	uint64_t ms = REMOTE_PERIOD_FACTOR * remote_round_ms(known);
-	uint64_t startup_ms = REMOTE_PERIOD_FACTOR * startup_period_ms(known);
-
-	if (known <= FEW_BALANCERS_MAX)
-		startup_ms = startup_period_ms(known);
-	ms = ms < HEARTBEAT_MAX_MS ? ms : HEARTBEAT_MAX_MS;
-	return fa_has_elapsed(fa->target.agent_started_ns, STARTUP_MS, now) ||
-		       ms < startup_ms
-		   ? ms
-		   : startup_ms;
+
+	return is_starting(fa, now) ? heartbeat_startup_remote_ms(known)
+				    : heartbeat_remote_ms(known);
 }
 
 /* ---- messages ---- */
