tests/flows: planned work that overlaps, as a mode

Planned work was tested by replacing all balancers after a restart of agents alone. Restarts of all balancers at their addresses that overlap, with restarts of agents at the same time, and agents that restart in turn, some twice, while all balancers are replaced, were not covered. The mode "rolling" does these in rounds, with "faults" beside random faults; a planned restart of an agent is no excuse for a reset or a stray packet. The mode "replace" moves to the same file.

--- a/tests/flows/callers.c
+++ b/tests/flows/callers.c
@@ -390,7 +390,7 @@
 		    !t->alive || t->incarnation != c->incarnation ||
 			t->leaving ||
 			!node_is_undisturbed(by, ENDPOINTS_STABLE_MS) ||
-			!node_is_stable(
+			!node_is_undisturbed(
 			    &sim.nodes[c->target], ENDPOINTS_STABLE_MS),
 		    "caller %u, state %d, at the target of agent %u, was "
 		    "reset by %s %u",
--- a/tests/flows/faults.c
+++ b/tests/flows/faults.c
@@ -6,10 +6,15 @@
 	RECOVERY_START_TARGET, /**< restart a target */
 	RECOVERY_STOP_TARGET,  /**< stop a target whose drain time is over */
 	RECOVERY_REPLACE,      /**< stop a balancer, and start another one */
+	RECOVERY_LEAVE,	       /**< a balancer leaves, and restarts */
+	RECOVERY_RESTART,      /**< stop a process, and start it again */
 };
 
 /** Time within which all processes start when the power is back, in ms. */
 #define POWER_START_MS 400
+/** Shortest time for which a process is down in a planned restart, in ms; the
+ * longest is twice as long. */
+#define RESTART_DOWN_MS 300
 /** Time for which a leaving balancer goes on forwarding, in ms. */
 #define LEAVE_MS 1200
 /** Time for which a leaving target continues to serve, in ms. */
@@ -101,6 +106,31 @@
 	}
 }
 
+void
+fault_restart_balancer(unsigned who, uint64_t delay_ns)
+{
+	schedule_event(delay_ns, EV_RECOVERY, who, 0, RECOVERY_LEAVE, NULL, 0);
+}
+
+void
+fault_restart_agent(unsigned who, uint64_t delay_ns)
+{
+	schedule_event(
+	    delay_ns, EV_RECOVERY, who, 0, RECOVERY_RESTART, NULL, 0);
+}
+
+static void
+leave_and_restart(unsigned who)
+{
+	struct node *n = &sim.nodes[who];
+
+	if (!n->alive)
+		return;
+	fb_leave(&n->fb, sim.now);
+	schedule_event(LEAVE_MS * NS_PER_MS, EV_RECOVERY, who, 0,
+	    RECOVERY_RESTART, NULL, 0);
+}
+
 void
 fault_kill_all(uint64_t down_ns)
 {
@@ -215,6 +245,12 @@
 	case RECOVERY_REPLACE:
 		node_replace(who, random_ns(0, 400));
 		break;
+	case RECOVERY_LEAVE:
+		leave_and_restart(who);
+		break;
+	case RECOVERY_RESTART:
+		node_restart(who, random_ns(RESTART_DOWN_MS, RESTART_DOWN_MS));
+		break;
 	case RECOVERY_STOP_TARGET:
 		target_stop(who);
 		schedule_event(random_ns(300, 2000), EV_RECOVERY, who, 0,
--- a/tests/flows/main.c
+++ b/tests/flows/main.c
@@ -4,42 +4,57 @@
  * of balancers and agents.
  *
  * usage: flow-run SEED SECONDS BALANCERS AGENTS
- *	[faults|restart|power|away|replace|overload|evacuate|priorities|cutoff|
- *	slopes]
+ *	[faults|restart|power|away|replace|rolling|overload|evacuate|
+ *	priorities|cutoff|reuse|slopes]
  *	[double|fivefold|uneven|burst|slow|unequal|unequal-double]
  *	[break N]
  *
  * "faults": injects faults for SECONDS (killed and frozen processes, cut links,
  * lost packets, outages of the store, targets that crash or leave); afterwards
  * all callers must be served again.
+ *
  * "restart": kills all processes once and measures the time until callers are
  * served again.
+ *
  * "power": all processes and targets lose power once, while callers with long
  * pauses have flows open; measures the same.
+ *
  * "away": all balancers are killed while the store is away; measures the time
  * until flows are opened again.
- * "replace": all balancers, or those of one failure domain, are replaced by
- * others at new addresses again and again, after a restart of some agents,
- *while callers with long pauses have flows open. "overload": more callers come
- *than the targets can serve, each request in a flow of its own. "evacuate": one
- *of eight failure domains is evacuated, and taken back; measures when balancers
- *and agents know it, and the control traffic. "priorities": callers of low
- *priority with long flows, and callers of high priority with a flow for each
- *request, ask for more than the targets can serve. Tests that admission and the
- *agents' queues together serve the high priority; combined with "faults", this
- *load is there during the faults, too. "cutoff": balancers are cut off from the
- *store alone: the watchers of one failure domain, those of all, all balancers
- *but one, and all. A new version must reach those that reach the store in time;
- *the calls to the store are counted. With 64 balancers or more there are 8
- *failure domains. "double", "fivefold" and so on: as overload, with requests of
- *two priorities, a part of which take longer, see loads_parse(); checks what
- *callers get, by priority and by failure domain. "reuse": all flows of a caller
- *have the same port, and pauses of up to 10 s. "slopes": measures processor
- *time, which no check uses. "break N": disables the mechanism behind invariant
- *N; the check of that invariant must report it. Exit status: 0 without a
- *violation, 1 with one, 2 for wrong arguments.
+ *
+ * "replace" and "rolling": planned work, see planned.h.
+ *
+ * "overload": more callers come than the targets can serve, each request in a
+ * flow of its own.
+ *
+ * "evacuate": one of eight failure domains is evacuated, and taken back;
+ * measures when balancers and agents know it, and the control traffic.
+ *
+ * "priorities": callers of low priority with long flows, and callers of high
+ * priority with a flow for each request, ask for more than the targets can
+ * serve. Tests that admission and the agents' queues together serve the high
+ * priority; combined with "faults", this load is there during the faults, too.
+ *
+ * "cutoff": balancers are cut off from the store alone: the watchers of one
+ * failure domain, those of all, all balancers but one, and all. A new version
+ * must reach those that reach the store in time; the calls to the store are
+ * counted. With 64 balancers or more there are 8 failure domains.
+ *
+ * "double", "fivefold" and so on: as overload, with requests of two priorities,
+ * a part of which take longer, see loads_parse(); checks what callers get, by
+ * priority and by failure domain.
+ *
+ * "reuse": all flows of a caller have the same port, and pauses of up to 10 s.
+ *
+ * "slopes": measures processor time, which no check uses.
+ *
+ * "break N": disables the mechanism behind invariant N; the check of that
+ * invariant must report it.
+ *
+ * Exit status: 0 without a violation, 1 with one, 2 for wrong arguments.
  */
 #include "loads.h"
+#include "planned.h"
 
 #include <sodium.h>
 #include <stdio.h>
@@ -71,7 +86,7 @@
 usage(void)
 {
 	fprintf(stderr, "usage: flow-run SEED SECONDS BALANCERS AGENTS "
-			"[faults|restart|power|away|replace|overload|"
+			"[faults|restart|power|away|replace|rolling|overload|"
 			"evacuate|priorities|cutoff|reuse|slopes]\n"
 			"\t[double|fivefold|uneven|burst|slow|unequal|"
 			"unequal-double] [break N]\n");
@@ -359,34 +374,6 @@
 	run_until(sim.now + RECOVER_S * NS_PER_S);
 }
 
-/** Time between two replacements, in s: all agents know the balancers then. */
-#define REPLACE_INTERVAL_S 20
-/** Every so many agents restart before a replacement, and the time of that, in
- * s: they do not know all flows of their targets during the replacement. */
-#define REPLACE_AGENTS_STEP 3
-#define REPLACE_AGENTS_S 6
-#define REPLACE_AGENT_DOWN_MS 500
-
-static void
-run_replace(uint64_t seconds)
-{
-	uint64_t end = sim.now + seconds * NS_PER_S;
-
-	run_until(sim.now + POWER_OPEN_S * NS_PER_S);
-	for (unsigned i = 0; sim.now < end; i++) {
-		for (unsigned a = i % REPLACE_AGENTS_STEP;
-		     a < sim.options.agents; a += REPLACE_AGENTS_STEP)
-			node_kill(sim.options.balancers + a,
-			    REPLACE_AGENT_DOWN_MS * NS_PER_MS);
-		run_until(sim.now + REPLACE_AGENTS_S * NS_PER_S);
-		fault_replace_balancers(
-		    i % 2 == 0
-			? sim.options.domains
-			: (unsigned)rng_below(&sim.rng, sim.options.domains));
-		run_until(sim.now + REPLACE_INTERVAL_S * NS_PER_S);
-	}
-}
-
 /** The cutoff mode: for how long balancers are cut off, as on the users' sites,
  * and when all of them are; the bound for a new version; the time after a cut
  * until the next, and the time in which the calls of the system at rest are
@@ -603,6 +590,7 @@
 	bool power = false;
 	bool away = false;
 	bool replace = false;
+	bool rolling = false;
 	bool overload = false;
 	bool evacuate = false;
 	bool cutoff = false;
@@ -626,6 +614,7 @@
 		power |= strcmp(argv[i], "power") == 0;
 		away |= strcmp(argv[i], "away") == 0;
 		replace |= strcmp(argv[i], "replace") == 0;
+		rolling |= strcmp(argv[i], "rolling") == 0;
 		overload |= strcmp(argv[i], "overload") == 0;
 		evacuate |= strcmp(argv[i], "evacuate") == 0;
 		sim.options.priorities |= strcmp(argv[i], "priorities") == 0;
@@ -645,10 +634,11 @@
 		sim.options.per_service = sim.options.agents;
 		overload = true;
 	}
-	sim.options.think_range_ms = power || replace || sim.options.reuse_ports
-					 ? POWER_THINK_RANGE_MS
-				     : overload ? OVERLOAD_CALM_THINK_MS
-						: THINK_RANGE_MS;
+	sim.options.think_range_ms =
+	    power || replace || rolling || sim.options.reuse_ports
+		? POWER_THINK_RANGE_MS
+	    : overload ? OVERLOAD_CALM_THINK_MS
+		       : THINK_RANGE_MS;
 	sim.options.single_requests = overload;
 	if (overload)
 		sim.options.callers =
@@ -672,7 +662,9 @@
 	if (away)
 		run_away();
 	if (replace)
-		run_replace(seconds);
+		planned_replace(seconds);
+	if (rolling)
+		planned_rolling(seconds);
 	if (sim.options.load.enabled)
 		run_load();
 	else if (overload)
@@ -683,10 +675,10 @@
 		run_priorities();
 	if (cutoff)
 		run_cutoffs(seconds);
-	run_steady_phase(
-	    sim.options.faults || restarts || power || away || replace || cutoff
-		? 10
-		: seconds);
+	run_steady_phase(sim.options.faults || restarts || power || away ||
+				 replace || rolling || cutoff
+			     ? 10
+			     : seconds);
 	print_summary();
 	endpoints_free();
 	nodes_free();
--- a/tests/flows/nodes.c
+++ b/tests/flows/nodes.c
@@ -333,15 +333,25 @@
 }
 
 void
-node_replace(unsigned who, uint64_t replace_after_ns)
+node_restart(unsigned who, uint64_t down_ns)
 {
 	struct node *n = &sim.nodes[who];
 
 	if (!n->alive)
 		return;
-	node_kill(who, replace_after_ns);
+	node_kill(who, down_ns);
 	n->planned = true;
 	n->disturbed_until_ns = 0;
+}
+
+void
+node_replace(unsigned who, uint64_t replace_after_ns)
+{
+	struct node *n = &sim.nodes[who];
+
+	if (!n->alive)
+		return;
+	node_restart(who, replace_after_ns);
 	n->moves++;
 	n->listed_ns = 0;
 	n->established = false;
--- a/tests/flows/simulation.h
+++ b/tests/flows/simulation.h
@@ -104,7 +104,7 @@
 	bool routed;	/**< routers send packets to this balancer */
 	unsigned moves; /**< a balancer: how often it was replaced by one at a
 			   new address */
-	bool planned;	/**< a balancer: it was started by planned work */
+	bool planned;	/**< it was started by planned work */
 	uint64_t listed_ns; /**< a balancer: since when its entry is in the
 			       store; 0 if it is not */
 	bool established;   /**< its entry says so */
@@ -277,6 +277,8 @@
 void node_start(unsigned who);
 /** Kill a node and schedule its restart. */
 void node_kill(unsigned who, uint64_t restart_after_ns);
+/** Restart a node as planned work, which counts as no fault. */
+void node_restart(unsigned who, uint64_t down_ns);
 /** Stop a balancer for good as planned work; it is replaced, after
  * replace_after_ns, by one at a new address that no process knows. */
 void node_replace(unsigned who, uint64_t replace_after_ns);
@@ -419,6 +421,9 @@
 /** Replace the balancers of a failure domain, or all when domain is
  * options.domains, by others at new addresses, as planned work. */
 void fault_replace_balancers(unsigned domain);
+/** Restart a balancer, which leaves first, or an agent, as planned work. */
+void fault_restart_balancer(unsigned who, uint64_t delay_ns);
+void fault_restart_agent(unsigned who, uint64_t delay_ns);
 /** Kill all processes; they restart after down_ns. */
 void fault_kill_all(uint64_t down_ns);
 /** Kill all balancers, which restart after down_ns, while the store is away for
--- a/tests/flows/targets.c
+++ b/tests/flows/targets.c
@@ -236,8 +236,8 @@
 	    sim.now < c->first_stray_ns + STRAY_WINDOW_MS * NS_PER_MS)
 		return;
 	check_invariant(INV_STRAY,
-	    !node_is_stable(owner, ENDPOINTS_STABLE_MS) ||
-		!node_is_stable(&sim.nodes[agent], ENDPOINTS_STABLE_MS) ||
+	    !node_is_undisturbed(owner, ENDPOINTS_STABLE_MS) ||
+		!node_is_undisturbed(&sim.nodes[agent], ENDPOINTS_STABLE_MS) ||
 		!node_is_undisturbed(
 		    &sim.nodes[p->forwarded_by], ENDPOINTS_STABLE_MS) ||
 		c->incarnation != get_target(c->target)->incarnation,
