flow/coverage: balancers that restarted together wait for the slowest agent

Cause: a balancer took all agents for known two heartbeat periods after the first agent, if all live balancers had restarted at known addresses. That period was the shortest of any agent heard. Agents of a failure domain without a balancer send at three times the period, and an agent that restarts at the same time has not sent at all. The log said so: agents_complete with 8 of 12 agents 900 ms after the start, then search_ended as not_found.

Change: that shortcut is gone. A balancer at a known address waits for two periods of the slowest agent, and at least for the 5 s in which an agent that restarted, too, is back. The slowest period follows from the number of balancers, also of agents that have not been heard: the wait used the longest period heard so far, which missed slow agents likewise, also for the agents of other failure domains.

--- a/src/codec/flow.pb-c.c
+++ b/src/codec/flow.pb-c.c
@@ -890,7 +890,7 @@
   (ProtobufCMessageInit) pwf__agent__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[19] =
+static const ProtobufCFieldDescriptor pwf__balancer__field_descriptors[18] =
 {
   {
     "domain",
@@ -1096,18 +1096,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "known_before",
-    18,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(Pwf__Balancer, known_before),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "store_era",
     19,
@@ -1130,22 +1118,22 @@
   0,   /* field[0] = domain */
   14,   /* field[14] = evacuated */
   13,   /* field[13] = evacuation */
-  17,   /* field[17] = known_before */
   3,   /* field[3] = leaving */
   15,   /* field[15] = limits */
   7,   /* field[7] = near_agents */
   8,   /* field[8] = near_set */
   2,   /* field[2] = peers */
   11,   /* field[11] = settled */
-  18,   /* field[18] = store_era */
+  17,   /* field[17] = store_era */
   1,   /* field[1] = version */
   12,   /* field[12] = watch_ok */
   9,   /* field[9] = whole */
 };
-static const ProtobufCIntRange pwf__balancer__number_ranges[1 + 1] =
+static const ProtobufCIntRange pwf__balancer__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 19, 17 },
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor pwf__balancer__descriptor =
 {
@@ -1155,10 +1143,10 @@
   "Pwf__Balancer",
   "pwf",
   sizeof(Pwf__Balancer),
-  19,
+  18,
   pwf__balancer__field_descriptors,
   pwf__balancer__field_indices_by_name,
-  1,  pwf__balancer__number_ranges,
+  2,  pwf__balancer__number_ranges,
   (ProtobufCMessageInit) pwf__balancer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/src/codec/flow.pb-c.h
+++ b/src/codec/flow.pb-c.h
@@ -90,12 +90,11 @@
   uint32_t *evacuated;
   uint64_t limits;
   uint32_t cold_per_s_milli;
-  protobuf_c_boolean known_before;
   uint64_t store_era;
 };
 #define PWF__BALANCER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__balancer__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 struct  Pwf__Peer
--- a/src/codec/flow_wire.c
+++ b/src/codec/flow_wire.c
@@ -54,7 +54,6 @@
 	out.whole = b->whole;
 	out.ask = b->ask;
 	out.settled = b->settled;
-	out.known_before = b->known_before;
 	out.store_era = b->store_era;
 	out.capacity = b->capacity;
 	out.watch_ok = b->watch_ok;
@@ -288,7 +287,6 @@
 	out->whole = b->whole;
 	out->ask = b->ask;
 	out->settled = b->settled;
-	out->known_before = b->known_before;
 	out->store_era = b->store_era;
 	out->capacity = b->capacity;
 	out->watch_ok = b->watch_ok;
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -176,7 +176,6 @@
 	m.u.balancer.near_set = fb->recent.local.digest;
 	m.u.balancer.whole = !fb_has_local_scope(fb, now);
 	m.u.balancer.settled = fb->agents_complete;
-	m.u.balancer.known_before = fb->coverage.known_before;
 	m.u.balancer.store_era = fb->store_era;
 	m.u.balancer.ask = fb_wants_agent_list(fb, to, now);
 	m.u.balancer.capacity = fb->setup.capacity;
--- a/src/flow/balancer_coverage.c
+++ b/src/flow/balancer_coverage.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/event.h"
+#include "flow/heartbeat_period.h"
 
 /** Margin in ms after the shortest period that agents announce, which is the
  * period in the own failure domain: each agent has had time to send a heartbeat
@@ -55,11 +56,8 @@
 /** The other balancers' agents compared with the own ones, in the scope of
  * fb_has_local_scope(). */
 struct comparison {
-	size_t compared;     /**< live balancers */
-	size_t more;	     /**< of them, those that have more recent agents */
-	size_t complete;     /**< of them, those that know all agents now */
-	size_t known_before; /**< of them, those at addresses that all agents
-				knew before */
+	size_t compared; /**< live balancers */
+	size_t more;	 /**< of them, those that have more recent agents */
 	size_t received_complete; /**< of them, those that were complete when
 				     their list was received */
 	size_t known;		  /**< own recent agents */
@@ -83,8 +81,6 @@
 			continue;
 		c.compared++;
 		c.more += set->count > c.known;
-		c.complete += e->agents_complete;
-		c.known_before += e->known_before;
 		c.received_complete += set->was_complete;
 	}
 	return c;
@@ -98,19 +94,32 @@
 	return c.compared > 0 && c.more == 0 && c.known > 0;
 }
 
+/*
+ * Longest period of the heartbeats of an agent of the scope. The slowest agents
+ * may not have been heard yet.
+ */
+static uint64_t
+longest_period_ms(const struct fb *fb, bool local)
+{
+	uint64_t heard_ms =
+	    agents_max_period_ms(&fb->agents, local ? fb->peers.domain_tag : 0);
+	uint64_t ms =
+	    local ? heartbeat_local_ms(peers_count_local(&fb->peers) + 1)
+		  : heartbeat_remote_ms(coverage_balancers(
+			&fb->coverage, peers_count(&fb->peers) + 1));
+
+	return heard_ms > ms ? heard_ms : ms;
+}
+
 static bool
 is_coverage_complete(
     const struct fb *fb, const struct comparison *c, uint64_t now)
 {
-	const struct coverage_evidence e = {.has_peers = c->compared > 0,
+	const struct coverage_evidence e = {
 	    .has_list_of_complete = c->received_complete > 0,
-	    .peer_is_complete = c->complete > 0,
 	    .peer_has_more = c->more > 0,
-	    .peers_known_before = c->known_before == c->compared,
-	    .first_agent_ns = fb->first_agent_ns,
-	    .agent_period_ms = fb->min_heartbeat_ms,
-	    .agent_max_period_ms = agents_max_period_ms(&fb->agents,
-		fb_has_local_scope(fb, now) ? fb->peers.domain_tag : 0),
+	    .agent_max_period_ms =
+		longest_period_ms(fb, fb_has_local_scope(fb, now)),
 	    .balancers = peers_count(&fb->peers)};
 
 	return coverage_is_complete(&fb->coverage, &e, now);
@@ -200,7 +209,7 @@
 	return fb->remote_agents_complete ||
 		       coverage_has_waited(&fb->coverage,
 			   peers_count(&fb->peers),
-			   agents_max_period_ms(&fb->agents, 0), now)
+			   longest_period_ms(fb, false), now)
 		   ? UNCERTAINTY_NONE
 		   : UNCERTAINTY_REMOTE;
 }
--- a/src/flow/coverage.c
+++ b/src/flow/coverage.c
@@ -67,13 +67,19 @@
 	c->watch_failed = !ok;
 }
 
+size_t
+coverage_balancers(const struct coverage *c, size_t count)
+{
+	return count > c->entries ? count : c->entries;
+}
+
 bool
 coverage_is_findable(const struct coverage *c, size_t balancers, uint64_t now)
 {
-	if (balancers < c->entries)
-		balancers = c->entries;
+	uint64_t ms = isolation_max_ms(coverage_balancers(c, balancers));
+
 	return c->findable_ns != 0 && !c->watch_failed &&
-	       has_passed(c->findable_ns, isolation_max_ms(balancers), now);
+	       has_passed(c->findable_ns, ms, now);
 }
 
 bool
@@ -96,13 +102,6 @@
 		return true;
 	if (e->peer_has_more)
 		return false;
-	/* All balancers have restarted at their addresses. Each hears sooner
-	 * from the agents of its failure domain, whose shorter period counts.
-	 */
-	if (c->known_before && e->has_peers && e->peers_known_before &&
-	    !e->peer_is_complete && e->first_agent_ns != 0 &&
-	    has_passed(e->first_agent_ns, 2 * e->agent_period_ms, now))
-		return true;
 	return coverage_has_waited(
 	    c, e->balancers, e->agent_max_period_ms, now);
 }
--- a/src/flow/coverage.h
+++ b/src/flow/coverage.h
@@ -7,8 +7,9 @@
  * them are new, as when the earlier ones were replaced, each knows only those
  * agents that have found it. There are three proofs: the list of a balancer
  * that knows all agents; an earlier process at this balancer's address that was
- * known to all agents, which therefore still send heartbeats there; and the
- * time in which every agent finds a balancer whose entry is in the store.
+ * known to all agents, which therefore still send heartbeats there, after the
+ * time in which the slowest of them has sent one; and the time in which every
+ * agent finds a balancer whose entry is in the store.
  */
 #ifndef PW_FLOW_COVERAGE_H
 #define PW_FLOW_COVERAGE_H
@@ -33,16 +34,11 @@
 
 /** What a balancer has heard of the agents that it compares with others. */
 struct coverage_evidence {
-	bool has_peers;		   /**< there are live balancers */
 	bool has_list_of_complete; /**< the list of one that knew all agents was
 				      received */
-	bool peer_is_complete;	   /**< one of them knows all agents */
-	bool peer_has_more;	   /**< one of them has more recent agents */
-	bool peers_known_before;   /**< all agents knew earlier processes at the
-				      addresses of all of them */
-	uint64_t first_agent_ns;   /**< first heartbeat of an agent; 0: none */
-	uint64_t agent_period_ms;  /**< shortest period of their heartbeats */
-	uint64_t agent_max_period_ms; /**< longest one */
+	bool peer_has_more; /**< a live balancer has more recent agents */
+	uint64_t agent_max_period_ms; /**< longest period of the heartbeats of
+					 any agent, heard or not */
 	size_t balancers;	      /**< others that it knows */
 };
 
@@ -66,6 +62,9 @@
     struct coverage *c, bool alone, bool complete, uint64_t now);
 /** Record the number of entries in a page of the list. */
 void coverage_on_entries(struct coverage *c, size_t count);
+/** Number of balancers that an agent may know: count, or the entries in the
+ * store if there are more. */
+size_t coverage_balancers(const struct coverage *c, size_t count);
 /** Record whether the store answers this balancer. */
 void coverage_on_watch(struct coverage *c, bool ok, uint64_t now);
 /**
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -97,8 +97,6 @@
 	bool ask;   /**< requests a list of the agents in the receiver's failure
 		       domain */
 	bool settled;	    /**< it knows all agents that it compares */
-	bool known_before;  /**< all agents knew an earlier process at its
-			       address */
 	uint64_t store_era; /**< latest era of the store that it knows; 0 for
 			       none */
 	uint32_t capacity;  /**< processor time it may use, in thousandths of a
--- a/src/flow/peers.c
+++ b/src/flow/peers.c
@@ -80,7 +80,6 @@
 	e->watch_ok = b->watch_ok;
 	e->agents_complete = b->settled;
 	e->all_domains = b->whole;
-	e->known_before = b->known_before;
 	e->all.count = b->agents;
 	e->all.digest = b->agent_set;
 	e->local.count = b->near_agents;
--- a/src/flow/peers.h
+++ b/src/flow/peers.h
@@ -43,8 +43,6 @@
 				 the store answers it */
 	bool agents_complete; /**< knows all agents that it compares */
 	bool all_domains;     /**< compares agents of all failure domains */
-	bool known_before;    /**< all agents knew an earlier process at its
-				 address */
 	uint64_t avoid_until_ns; /**< not chosen as a delegate until then, since
 				    it left a query unanswered */
 	uint64_t work_sent_ns;	 /**< when an agent's answer to an opening last
--- a/tests/unit/script_balancer_members.c
+++ b/tests/unit/script_balancer_members.c
@@ -26,11 +26,10 @@
 
 /*
  * peer BALANCER DOMAIN VERSION AGENTS
- *	[CAPACITY-MILLICORES [DIGEST-OFFSET [starting|restarted|local]]]:
+ *	[CAPACITY-MILLICORES [DIGEST-OFFSET [starting|local]]]:
  * a heartbeat of a peer. With DIGEST-OFFSET 1 it reports another set of
- * agents. A peer that is neither starting nor restarted has heartbeats from all
- * agents, or with "local" from all agents of its own failure domain. All agents
- * knew the address of one that is restarted.
+ * agents. A peer that is not starting has heartbeats from all agents, or with
+ * "local" from all agents of its own failure domain.
  */
 void
 do_peer(const char *arg, const char *body)
@@ -48,9 +47,7 @@
 	m.u.balancer.agents = words_get_u32(&w, 3);
 	m.u.balancer.capacity =
 	    w.count > 4 ? words_get_u32(&w, 4) : fb->setup.capacity;
-	m.u.balancer.known_before = strcmp(w.word[6], "restarted") == 0;
-	m.u.balancer.settled =
-	    strcmp(w.word[6], "starting") != 0 && !m.u.balancer.known_before;
+	m.u.balancer.settled = strcmp(w.word[6], "starting") != 0;
 	m.u.balancer.whole = strcmp(w.word[6], "local") != 0;
 	m.u.balancer.peers = peers_digest(&fb->peers);
 	/*
