flow/agent_control: an unanswered request for a list is repeated elsewhere

Cause: an agent asks one balancer every 4 s for its list, and forgets a balancer that no list has named for 20 s. The choice followed the number of messages sent, and a request to a balancer that had ended was not repeated, so for 15 s all requests went to the two that had been replaced. Lookups in the store did not help, as they skipped balancers that the agent still knew. The balancers then took all agents for known after the time in which every agent that knows their addresses has sent a heartbeat.

Change: a request without an answer is repeated after 1 s, and each request goes to another balancer in turn. An isolated agent contacts every balancer that the store names, known or not.

--- a/src/flow/agent_control.c
+++ b/src/flow/agent_control.c
@@ -27,7 +27,8 @@
 /** Rounds of heartbeats sent at once after a change of state. */
 #define STATE_CHANGE_ROUNDS 2
 /** Period of requests for a list of balancers until one confirms that the list
- * is complete, in ms; then isolation_list_period_ms(). */
+ * is complete, in ms; then isolation_list_period_ms(). A request without an
+ * answer is repeated after as long, to another balancer. */
 #define LIST_QUERY_STARTUP_MS 1000
 /** Period in which idle flows are removed, in ms. */
 #define EXPIRE_INTERVAL_MS 1000
@@ -197,6 +198,7 @@
 		return;
 	case FLOW_MSG_PEERS:
 		fa->balancer_seen = true;
+		fa->list_pending = false;
 		peers_record(&fa->peers, m->from, now, 0);
 		on_peers(fa, &m->u.peers, now);
 		return;
@@ -314,20 +316,31 @@
 		   : LIST_QUERY_STARTUP_MS;
 }
 
+/*
+ * The balancer from which to request a list now, by its position in the table;
+ * SIZE_MAX for none. Each time it is another one, as some may have ended.
+ */
+static size_t
+next_list_source(struct fa *fa, uint64_t now)
+{
+	size_t known = peers_count(&fa->peers);
+	uint64_t period_ms = fa->list_pending ? LIST_QUERY_STARTUP_MS
+					      : fa_list_query_period_ms(fa);
+
+	if (known == 0 || !fa_has_elapsed(fa->list_query_ns, period_ms, now))
+		return SIZE_MAX;
+	fa->list_query_ns = now;
+	fa->list_pending = true;
+	return (size_t)((fa->setup.incarnation + fa->list_queries++) % known);
+}
+
 static void
 send_heartbeats(struct fa *fa, bool remote, uint64_t now)
 {
-	size_t known = peers_count(&fa->peers);
-	/* Request the list from one balancer, a different one each time. */
-	size_t list_from = known > 0 && fa_has_elapsed(fa->list_query_ns,
-					    fa_list_query_period_ms(fa), now)
-			       ? (size_t)(fa->sequence % known)
-			       : SIZE_MAX;
+	size_t list_from = next_list_source(fa, now);
 	size_t at = 0;
 	struct peer *e, *next;
 
-	if (list_from != SIZE_MAX)
-		fa->list_query_ns = now;
 	fa->heartbeat_sent_ns = now;
 	fa->remote_heartbeat_sent_ns =
 	    remote ? now : fa->remote_heartbeat_sent_ns;
@@ -427,8 +440,7 @@
 {
 	/* The entry may be of a dead balancer, so it is added to the peers only
 	 * when the balancer replies. */
-	if (peers_find(&fa->peers, id) == NULL)
-		send_heartbeat(fa, id, true, now);
+	send_heartbeat(fa, id, true, now);
 }
 
 void
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -92,6 +92,9 @@
     {"find", do_find},
     {"check_result", do_check_result},
     {"agent_wait", do_agent_wait},
+    {"list_requests", do_list_requests},
+    {"balancer_list", do_balancer_list},
+    {"store_names", do_store_names},
     {"stored_snapshot", do_stored_snapshot},
     {"snapshot_written", do_snapshot_written},
     {"record", do_record},
@@ -131,10 +134,10 @@
 {
 	static const char *const names[] = {"flow-open", "flow-reuse",
 	    "flow-search", "flow-delegates", "flow-coverage", "flow-members",
-	    "flow-watch", "flow-agent", "flow-port-reuse", "flow-snapshot",
-	    "flow-target", "flow-queue", "platform", "foreign-objects", "logs",
-	    "evacuation", "evacuation-spread", "cold-limit", "flow-capacity",
-	    "flow-admission", "domain-share"};
+	    "flow-watch", "flow-agent", "flow-lists", "flow-port-reuse",
+	    "flow-snapshot", "flow-target", "flow-queue", "platform",
+	    "foreign-objects", "logs", "evacuation", "evacuation-spread",
+	    "cold-limit", "flow-capacity", "flow-admission", "domain-share"};
 
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0)
--- a/tests/unit/script_flow_agent.c
+++ b/tests/unit/script_flow_agent.c
@@ -59,6 +59,8 @@
 }
 
 static uint32_t last_failing;
+static bool print_requests;
+static uint64_t requests_from_ns;
 
 static void
 on_send(void *ctx, uint64_t to, const struct flow_msg *m)
@@ -71,6 +73,11 @@
 	(void)ctx;
 	switch (m->kind) {
 	case FLOW_MSG_AGENT:
+		if (print_requests && m->u.agent.ask)
+			script_printf("  %s: requests the list after %u ms\n",
+			    format_address_name(to),
+			    (unsigned)((script_now_ns - requests_from_ns) /
+				       NS_PER_MS));
 		if (m->u.agent.state != last_state || m->u.agent.gone)
 			script_printf("  %s: %s%s, %u flows, %u waiting\n",
 			    format_address_name(to), states[m->u.agent.state],
@@ -317,6 +324,46 @@
 	}
 }
 
+/* list_requests MS: runs the ticks of this time, and prints which balancers are
+ * asked for a list */
+void
+do_list_requests(const char *arg, const char *body)
+{
+	print_requests = true;
+	requests_from_ns = script_now_ns;
+	do_agent_wait(arg, body);
+	print_requests = false;
+}
+
+/* balancer_list BALANCER same|BALANCER...: a balancer's list, or the message
+ * that it equals the agent's */
+void
+do_balancer_list(const char *arg, const char *body)
+{
+	struct words w;
+	struct flow_msg m = {.kind = FLOW_MSG_PEERS, .incarnation = 1};
+
+	(void)body;
+	words_split(&w, arg);
+	m.from = parse_address_name(w.word[0]);
+	m.u.peers.same = strcmp(w.word[1], "same") == 0;
+	for (size_t i = 1; i < w.count && !m.u.peers.same; i++)
+		m.u.peers.peers[m.u.peers.count++].id =
+		    parse_address_name(w.word[i]);
+	fa_handle_message(&fa, &m, script_now_ns);
+}
+
+/* store_names BALANCER: an isolated agent finds a balancer in the store */
+void
+do_store_names(const char *arg, const char *body)
+{
+	(void)body;
+	print_requests = true;
+	requests_from_ns = script_now_ns;
+	fa_contact_balancer(&fa, parse_address_name(arg), script_now_ns);
+	print_requests = false;
+}
+
 /*
  * stored_snapshot [ID STARTED-MS CALLER...]: the snapshot of an earlier process
  * is read; each caller has a flow to s1, acknowledged up to its own number
