flow/balancer_probes: probes of one flow are limited in time

Cause: an agent that restarts finds new balancers at once and does not know the flows of its target, so it has the balancer send it packets as probes. The agent that holds the flow looks for new balancers only 5 s after the last message of an old one. Until then each search probed every agent that had restarted, again and again, and each further agent that restarted was probed, too.

Change: - An agent remembers of which flows its target returned a probe, and denies them. - Agents and balancers know since when packets of a flow have been sent as probes. Queries and replies state it, so it reaches the balancer to which a flow moves. After 1 s no further probe is sent, unless all agents are known and a single one may hold the flow. - A balancer at an address that agents did not know asks all agents that it knows before its first probe for a flow: one of them may know of a probe by another balancer. At an address that was known before nothing is delayed, so that restarts of all processes are as fast as they were.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -100,6 +100,13 @@
 for seed in 1 2 3; do
 	check "flow-run-$seed" "$build/tests/flow-run" $seed 60 9 24 faults
 done
+# Agents that restarted probed their targets for flows of agents that had not found
+# the new balancers.
+for seed in 40 44; do
+	check "flow-run-replace-$seed" \
+	    "$build/tests/flow-run" $seed 60 9 24 replace
+done
+check flow-run-59 "$build/tests/flow-run" 59 60 9 24 faults
 check flow-run-large "$build/tests/flow-run" 1 20 76 300 faults
 check flow-run-3000 "$build/tests/flow-run" 1 1 100 3000
 check flow-run-1500 "$build/tests/flow-run" 1 25 40 1500
@@ -116,6 +123,12 @@
 	    "$build/tests/flow-run" $seed 5 3 8 overload
 	check "flow-run-replace-$seed" \
 	    "$build/tests/flow-run" $seed 40 9 24 replace
+	check "flow-run-rolling-$seed" \
+	    "$build/tests/flow-run" $seed 120 9 24 rolling
+	check "flow-run-rolling-few-$seed" \
+	    "$build/tests/flow-run" $seed 120 3 10 rolling
+	check "flow-run-rolling-faults-$seed" \
+	    "$build/tests/flow-run" $seed 60 9 24 rolling faults
 	check "flow-run-away-$seed" \
 	    "$build/tests/flow-run" $seed 10 9 24 away
 	check "flow-run-priorities-$seed" \
--- a/src/codec/flow.pb-c.c
+++ b/src/codec/flow.pb-c.c
@@ -1499,7 +1499,7 @@
   (ProtobufCMessageInit) pwf__flow__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pwf__found__field_descriptors[5] =
+static const ProtobufCFieldDescriptor pwf__found__field_descriptors[6] =
 {
   {
     "caller",
@@ -1561,18 +1561,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "probed_ms",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pwf__Found, probed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pwf__found__field_indices_by_name[] = {
   2,   /* field[2] = ack */
   0,   /* field[0] = caller */
   4,   /* field[4] = owner */
+  5,   /* field[5] = probed_ms */
   1,   /* field[1] = service */
   3,   /* field[3] = where */
 };
 static const ProtobufCIntRange pwf__found__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor pwf__found__descriptor =
 {
@@ -1582,7 +1595,7 @@
   "Pwf__Found",
   "pwf",
   sizeof(Pwf__Found),
-  5,
+  6,
   pwf__found__field_descriptors,
   pwf__found__field_indices_by_name,
   1,  pwf__found__number_ranges,
--- a/src/codec/flow.pb-c.h
+++ b/src/codec/flow.pb-c.h
@@ -158,10 +158,11 @@
   uint32_t ack;
   uint32_t where;
   uint64_t owner;
+  uint32_t probed_ms;
 };
 #define PWF__FOUND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pwf__found__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 struct  Pwf__Find
--- a/src/codec/flow_wire.c
+++ b/src/codec/flow_wire.c
@@ -158,6 +158,7 @@
 		items[i].ack = list->flows[i].ack;
 		items[i].where = list->flows[i].where;
 		items[i].owner = list->flows[i].owner;
+		items[i].probed_ms = list->flows[i].probed_ms;
 		refs[i] = &items[i];
 	}
 	find.n_flows = list->count;
@@ -330,6 +331,7 @@
 		out->flows[i].ack = f->ack;
 		out->flows[i].where = (enum find_result)f->where;
 		out->flows[i].owner = f->owner;
+		out->flows[i].probed_ms = f->probed_ms;
 	}
 	return true;
 }
--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -10,6 +10,11 @@
  * answers to openings, in ms. With it in each answer, an agent with 160
  * openings a second sent 13.5 kB/s, more than the bound of 13 kB/s. */
 #define WORK_REPORT_MS 1000
+/** Flows of which the target returned a probe are remembered up to this number
+ * and for this time in ms: longer than balancers take to know all agents, after
+ * which a search for the flow succeeds. */
+#define RETURNED_FLOWS_MAX 1024
+#define RETURNED_KEEP_MS 30000
 /** A target returns a packet within a fraction of this, in ms. If it sends any
  * packet later than this after a probe, without having returned the probe, it
  * holds the probe's flow. */
@@ -27,6 +32,9 @@
 	*fa = (struct fa){
 	    .setup = *setup, .callbacks = callbacks, .ctx = ctx, .ctr = ctr};
 	fa->flows.capacity = setup->flow_capacity;
+	fa->returned = (struct flow_times){
+	    .capacity = RETURNED_FLOWS_MAX, .keep_ms = RETURNED_KEEP_MS};
+	fa->probed = fa->returned;
 	fa->target.service = flow_service_tag(str_of(setup->service));
 	fa->target.address = setup->target;
 	fa->target.period_ms = setup->word_period_ms;
@@ -45,6 +53,8 @@
 fa_clear(struct fa *fa)
 {
 	table_clear(&fa->flows);
+	flow_times_clear(&fa->returned);
+	flow_times_clear(&fa->probed);
 	snapshot_clear(&fa->recovery.stored);
 	peers_clear(&fa->peers);
 }
@@ -277,6 +287,8 @@
 		return;
 	}
 	if (table_begins_flow(f, p)) {
+		flow_times_remove(&fa->returned, &p->flow);
+		flow_times_remove(&fa->probed, &p->flow);
 		f = upsert_flow(fa, &p->flow, ENTRY_OPENING, now);
 		table_record_opening(f, p->seq);
 	}
@@ -291,6 +303,14 @@
 		fa->probes[fa->probe_count++] = (struct fa_probe){*flow, now};
 }
 
+bool
+fa_may_hold_unknown_flow(const struct fa *fa, const struct flow_key *flow,
+    uint32_t ack, uint64_t now)
+{
+	return !fa->flows_complete && !target_has_ended(&fa->target, now) &&
+	       flow_times_find(&fa->returned, flow, ack, now) == 0;
+}
+
 /* Handle a packet of a flow that is not in the table. */
 static void
 handle_unknown_flow(
@@ -298,7 +318,7 @@
 {
 	struct flow_entry *f;
 
-	if (!fa->flows_complete && !target_has_ended(&fa->target, now)) {
+	if (fa_may_hold_unknown_flow(fa, &p->flow, p->ack, now)) {
 		f = upsert_flow(fa, &p->flow, ENTRY_PROBED, now);
 		f->balancer_probe = p->probe;
 		deliver(fa, f, p, via, now);
@@ -390,6 +410,11 @@
 	ctr_inc(fa->ctr, CTR_TARGET_RETURNED);
 	if (f == NULL)
 		return;
+	if (f->state == ENTRY_PROBED) {
+		flow_times_add(
+		    &fa->returned, &p->flow, f->caller_ack, now, now);
+		flow_times_add(&fa->probed, &p->flow, f->caller_ack, now, now);
+	}
 	if ((p->flags & FLOW_SYN) != 0) {
 		if (f->state != ENTRY_OPENING)
 			return;
--- a/src/flow/agent.h
+++ b/src/flow/agent.h
@@ -16,6 +16,7 @@
 #include "flow/cold_limit.h"
 #include "flow/evacuation.h"
 #include "flow/failure_rate.h"
+#include "flow/flow_times.h"
 #include "flow/peers.h"
 #include "flow/snapshot.h"
 #include "flow/table.h"
@@ -117,6 +118,10 @@
 	struct peers peers;    /**< the balancers */
 	struct fa_probe probes[FA_PROBES_MAX];
 	size_t probe_count;
+	struct flow_times returned; /**< flows of which the target returned a
+				       probe: it does not hold them */
+	struct flow_times probed;   /**< since when packets of flows reach
+				       targets that do not hold them */
 	/** Whether the table has all flows that the target may hold. */
 	bool flows_complete;
 	uint64_t incomplete_since_ns; /**< when !flows_complete */
--- a/src/flow/agent_control.c
+++ b/src/flow/agent_control.c
@@ -66,9 +66,9 @@
 
 	if (f == NULL || f->state == ENTRY_PROBED ||
 	    table_is_outdated(f, item->ack))
-		return fa->flows_complete || target_has_ended(&fa->target, now)
-			   ? FIND_NOT_HELD
-			   : FIND_UNKNOWN;
+		return fa_may_hold_unknown_flow(fa, &item->flow, item->ack, now)
+			   ? FIND_UNKNOWN
+			   : FIND_NOT_HELD;
 	return f->state != ENTRY_OPENING && table_ack_matches(f, item->ack)
 		   ? FIND_HELD
 		   : FIND_NOT_HELD;
@@ -80,9 +80,15 @@
 	struct flow_msg reply = {.kind = FLOW_MSG_FOUND};
 
 	reply.u.find = m->u.find;
-	for (uint32_t i = 0; i < m->u.find.count; i++)
-		reply.u.find.flows[i].where =
-		    find_flow(fa, &m->u.find.flows[i], now);
+	for (uint32_t i = 0; i < m->u.find.count; i++) {
+		struct find_item *item = &reply.u.find.flows[i];
+
+		flow_times_add_age(
+		    &fa->probed, &item->flow, item->ack, item->probed_ms, now);
+		item->where = find_flow(fa, item, now);
+		item->probed_ms =
+		    flow_times_age_ms(&fa->probed, &item->flow, item->ack, now);
+	}
 	fa_send(fa, m->from, &reply);
 }
 
--- a/src/flow/agent_internal.h
+++ b/src/flow/agent_internal.h
@@ -38,6 +38,12 @@
  * unconfirmed.
  */
 void fa_reset_flows_before(struct fa *fa, uint64_t until, uint64_t now);
+/**
+ * Whether the target may hold a flow that is not in the table: the table may be
+ * incomplete, and the target has not returned a packet of the flow.
+ */
+bool fa_may_hold_unknown_flow(const struct fa *fa, const struct flow_key *flow,
+    uint32_t ack, uint64_t now);
 /** Pass a caller's packet to the target. */
 void fa_pass_to_target(struct fa *fa, struct flow_entry *f,
     const struct flow_packet *p, uint64_t now);
--- a/src/flow/balancer.c
+++ b/src/flow/balancer.c
@@ -12,6 +12,10 @@
 #define OPENINGS_MAX 4096
 #define SEARCHES_MAX 1024
 #define PROXIED_SEARCHES_MAX 4096
+#define PROBED_FLOWS_MAX 4096
+/** Time for which the first probe of a flow is remembered, in ms: longer than
+ * it takes to know all agents. */
+#define PROBED_KEEP_MS 30000
 
 void
 fb_init(struct fb *fb, const struct fb_setup *setup,
@@ -24,6 +28,8 @@
 	fb->openings.capacity = OPENINGS_MAX;
 	fb->searches.capacity = SEARCHES_MAX;
 	fb->proxied_searches.capacity = PROXIED_SEARCHES_MAX;
+	fb->probed = (struct flow_times){
+	    .capacity = PROBED_FLOWS_MAX, .keep_ms = PROBED_KEEP_MS};
 	fb->peers.self = setup->id;
 	gossip_init(&fb->gossip);
 	fb->peers.domain_tag = flow_service_tag(str_of(setup->domain));
@@ -44,6 +50,7 @@
 	admissions_clear(&fb->admissions);
 	searches_clear(&fb->searches);
 	searches_clear(&fb->proxied_searches);
+	flow_times_clear(&fb->probed);
 	agents_clear(&fb->agents);
 	peers_clear(&fb->peers);
 	reported_agents_clear(&fb->reported_agents);
--- a/src/flow/balancer.h
+++ b/src/flow/balancer.h
@@ -16,6 +16,7 @@
 #include "flow/coverage.h"
 #include "flow/domain_share.h"
 #include "flow/evacuation.h"
+#include "flow/flow_times.h"
 #include "flow/openings.h"
 #include "flow/peers.h"
 #include "flow/reported_agents.h"
@@ -111,6 +112,8 @@
 	struct admissions admissions;
 	struct searches searches;
 	struct searches proxied_searches; /**< for other balancers */
+	struct flow_times probed; /**< since when packets of flows reach other
+				     targets as probes */
 	struct delegates delegates;
 	struct rng rng;
 	uint64_t sequence;
--- a/src/flow/balancer_internal.h
+++ b/src/flow/balancer_internal.h
@@ -2,9 +2,9 @@
  * @file balancer_internal.h
  * Declarations shared by the files of the balancer: opening packets
  * (balancer_open.c), searches (balancer_search.c), searches for other
- * balancers (balancer_proxied_search.c), whether all agents are known
- * (balancer_coverage.c), the configuration (balancer_config.c), membership and
- * periodic work (balancer_members.c).
+ * balancers (balancer_proxied_search.c), probes (balancer_probes.c), whether
+ * all agents are known (balancer_coverage.c), the configuration
+ * (balancer_config.c), membership and periodic work (balancer_members.c).
  */
 #ifndef PW_BALANCER_INTERNAL_H
 #define PW_BALANCER_INTERNAL_H
@@ -86,6 +86,14 @@
 /** Search for the agent whose target holds a flow, and keep the packet until
  * the agent is found. */
 void fb_search_agent(struct fb *fb, const struct flow_packet *p, uint64_t now);
+/** Send the probes of a search that are due, unless packets of the flow have
+ * reached other targets for too long. */
+void fb_send_due_probes(struct fb *fb, struct search *e, uint64_t now);
+/** Send a caller's retransmission as another probe to the agents whose latest
+ * reply is FIND_UNKNOWN: the previous probe may have been lost, or their target
+ * was silent. */
+void fb_probe_again(
+    struct fb *fb, struct search *e, const struct flow_packet *p, uint64_t now);
 /** End the search for a flow, if there is one. */
 void fb_end_search(struct fb *fb, const struct flow_key *flow);
 /** Queue a query or a reply for one process; sends the queue when it is full.
--- a/src/flow/balancer_proxied_search.c
+++ b/src/flow/balancer_proxied_search.c
@@ -29,10 +29,13 @@
 
 static void
 reply_to_clients(struct fb *fb, const struct search *e, enum find_result where,
-    uint64_t owner)
+    uint64_t owner, uint64_t now)
 {
-	const struct find_item item = {
-	    .flow = e->flow, .ack = e->ack, .where = where, .owner = owner};
+	const struct find_item item = {.flow = e->flow,
+	    .ack = e->ack,
+	    .where = where,
+	    .owner = owner,
+	    .probed_ms = flow_times_age_ms(&fb->probed, &e->flow, e->ack, now)};
 
 	for (size_t i = 0; i < e->client_count; i++)
 		send_reply(fb, e->clients[i], &item);
@@ -51,7 +54,7 @@
 	    (int)e->pending, "uncertainty",
 	    fb_uncertainty_name(fb_uncertainty(fb, e, now)), "took_ms",
 	    (json_int_t)((now - e->began_ns) / NS_PER_MS));
-	reply_to_clients(fb, e, where, owner);
+	reply_to_clients(fb, e, where, owner, now);
 	searches_remove(&fb->proxied_searches, e);
 }
 
@@ -69,7 +72,7 @@
 	} else if (!e->pending_sent &&
 		   fb_has_elapsed(e->began_ns, SEARCH_PENDING_REPLY_MS, now)) {
 		e->pending_sent = true;
-		reply_to_clients(fb, e, FIND_PENDING, 0);
+		reply_to_clients(fb, e, FIND_PENDING, 0, now);
 	}
 }
 
@@ -116,6 +119,8 @@
 	const struct flow_packet p = {.flow = query->flow, .ack = query->ack};
 	struct find_item unknown = *query;
 
+	flow_times_add_age(
+	    &fb->probed, &query->flow, query->ack, query->probed_ms, now);
 	if (e == NULL) {
 		ctr_inc(fb->ctr, CTR_PROXIED_SEARCHES);
 		e = searches_begin(&fb->proxied_searches, &p, now);
--- a/src/flow/balancer_search.c
+++ b/src/flow/balancer_search.c
@@ -10,8 +10,6 @@
  * message of its own (bench/flow-ask), which adds some 3 us for the two system
  * calls. Queries therefore use at most a third of the processor time. */
 #define QUERIES_PER_MILLI 64
-/** Cost of a packet that an agent probes at its target, in queries. */
-#define PROBE_COST_QUERIES INT64_C(3)
 /** A delegate that did not answer gets no queries for this long, in ms. */
 #define AVOID_MS 2000
 /** Time until a search looks again for a delegate of a failure domain that had
@@ -64,9 +62,11 @@
 
 /* Queue a query for an agent or a delegate. */
 static void
-queue_query(struct fb *fb, const struct search *e, uint64_t to)
+queue_query(struct fb *fb, const struct search *e, uint64_t to, uint64_t now)
 {
-	const struct find_item item = {.flow = e->flow, .ack = e->ack};
+	const struct find_item item = {.flow = e->flow,
+	    .ack = e->ack,
+	    .probed_ms = flow_times_age_ms(&fb->probed, &e->flow, e->ack, now)};
 	struct agent_view *v = agents_find(&fb->agents, to);
 	struct peer *peer = v == NULL ? peers_find(&fb->peers, to) : NULL;
 
@@ -124,18 +124,18 @@
 		fb->query_credit_milli -=
 		    (int64_t)(e->query_count - first) * 1000;
 	for (size_t i = first; i < e->query_count; i++)
-		queue_query(fb, e, e->queries[i].agent);
+		queue_query(fb, e, e->queries[i].agent, now);
 }
 
 static void
-query_again(struct fb *fb, const struct search *e)
+query_again(struct fb *fb, const struct search *e, uint64_t now)
 {
 	for (size_t i = 0; i < e->query_count; i++) {
 		if (e->queries[i].answered)
 			continue;
 		ctr_inc(fb->ctr, CTR_SEARCH_ASKED);
 		fb->query_credit_milli -= 1000;
-		queue_query(fb, e, e->queries[i].agent);
+		queue_query(fb, e, e->queries[i].agent, now);
 	}
 }
 
@@ -184,12 +184,13 @@
 	enum search_verdict verdict;
 	enum uncertainty uncertainty;
 
+	fb_send_due_probes(fb, e, now);
 	drop_unresponsive_delegates(fb, e, now);
 	while (
 	    search_is_due(e, &fb->agents, now, fb->lag_ms) && may_query(fb, e))
 		query_next(fb, e, now);
 	if (may_query(fb, e) && search_should_retry(e, now, fb->lag_ms))
-		query_again(fb, e);
+		query_again(fb, e, now);
 	verdict = search_verdict(e, &fb->agents, now, fb->lag_ms);
 	uncertainty = verdict == SEARCH_NOT_FOUND ? fb_uncertainty(fb, e, now)
 						  : UNCERTAINTY_NONE;
@@ -214,36 +215,6 @@
 	searches_remove(&fb->searches, e);
 }
 
-static void
-send_probe(struct fb *fb, const struct search *e, const struct agent_view *v,
-    struct str bytes)
-{
-	ctr_inc(fb->ctr, CTR_SEARCH_PROBES);
-	if (e->tier == SEARCH_TIERS)
-		fb->query_credit_milli -= PROBE_COST_QUERIES * 1000;
-	fb_forward(fb, v, &e->flow, bytes, true);
-}
-
-/* Agents whose latest reply is FIND_UNKNOWN get the caller's retransmission as
- * another probe: the previous probe may have been lost, or their target was
- * silent. */
-static void
-probe_again(
-    struct fb *fb, struct search *e, const struct flow_packet *p, uint64_t now)
-{
-	if (e->probing == 0 || p->bytes.len == 0 ||
-	    !fb_has_elapsed(e->last_query_ns, SEARCH_PROBE_TIMEOUT_MS, now))
-		return;
-	e->last_query_ns = now;
-	for (size_t i = 0; i < e->query_count; i++) {
-		const struct agent_view *v =
-		    agents_find(&fb->agents, e->queries[i].agent);
-
-		if (e->queries[i].replied_unknown && v != NULL)
-			send_probe(fb, e, v, p->bytes);
-	}
-}
-
 void
 fb_search_agent(struct fb *fb, const struct flow_packet *p, uint64_t now)
 {
@@ -263,7 +234,7 @@
 	}
 	if (!search_hold_packet(e, p))
 		ctr_inc(fb->ctr, CTR_DROP_HELD);
-	probe_again(fb, e, p, now);
+	fb_probe_again(fb, e, p, now);
 }
 
 void
@@ -290,6 +261,7 @@
 	for (size_t i = 0; i < e->held_count; i++)
 		fb_forward(fb, v, &e->flow,
 		    (struct str){e->held[i]->bytes, e->held[i]->len}, false);
+	flow_times_remove(&fb->probed, &e->flow);
 	searches_remove(&fb->searches, e);
 }
 
@@ -316,9 +288,7 @@
 		finish_found(fb, e, v, now);
 		return;
 	}
-	if (search_handle_reply(e, v->id, found->where) && e->held_count > 0)
-		send_probe(
-		    fb, e, v, (struct str){e->held[0]->bytes, e->held[0]->len});
+	search_handle_reply(e, v->id, found->where);
 	fb_continue_search(fb, e, now);
 }
 
@@ -351,7 +321,7 @@
 		return;
 	}
 	if (search_handle_delegate_referral(e, delegate, v->id))
-		queue_query(fb, e, v->id);
+		queue_query(fb, e, v->id, now);
 	fb_continue_search(fb, e, now);
 }
 
@@ -363,6 +333,8 @@
 	for (uint32_t i = 0; i < m->u.find.count; i++) {
 		const struct find_item *found = &m->u.find.flows[i];
 
+		flow_times_add_age(&fb->probed, &found->flow, found->ack,
+		    found->probed_ms, now);
 		if (v == NULL) {
 			on_delegate_reply(fb, m->from, found, now);
 			continue;
--- a/src/flow/coverage.c
+++ b/src/flow/coverage.c
@@ -73,6 +73,12 @@
 	return count > c->entries ? count : c->entries;
 }
 
+bool
+coverage_is_at_new_address(const struct coverage *c)
+{
+	return c->findable_ns != 0 && !c->known_before;
+}
+
 bool
 coverage_is_findable(const struct coverage *c, size_t balancers, uint64_t now)
 {
--- a/src/flow/coverage.h
+++ b/src/flow/coverage.h
@@ -67,6 +67,9 @@
 size_t coverage_balancers(const struct coverage *c, size_t count);
 /** Record whether the store answers this balancer. */
 void coverage_on_watch(struct coverage *c, bool ok, uint64_t now);
+/** Whether the own entry is in the store, and no earlier process at this
+ * address was known to all agents. */
+bool coverage_is_at_new_address(const struct coverage *c);
 /**
  * Whether every agent that can reach the store has had the time to find this
  * balancer.
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -168,9 +168,12 @@
 			 apart two openings of the same flow key; FOUND: of the
 			 query or the probe, 0 when not stated */
 	enum find_result where; /**< FOUND: the result */
-	uint64_t owner; /**< FOUND from a delegate: the agent that holds the
-			   flow, or the only one that replied FIND_UNKNOWN;
-			   0 for none or several */
+	uint64_t owner;	    /**< FOUND from a delegate: the agent that holds the
+			       flow, or the only one that replied FIND_UNKNOWN;
+			       0 for none or several */
+	uint32_t probed_ms; /**< time since a packet of the flow
+			       first reached a target that does not hold it; 0
+			       if the sender knows of none */
 };
 
 /** A query for flows, or the reply to it. */
--- a/src/flow/search.c
+++ b/src/flow/search.c
@@ -270,7 +270,7 @@
 	    e->queried_ns + tier_timeout_ns(e, SEARCH_TIER_TIMEOUT_MS, lag_ms);
 
 	if (e->tier < SEARCH_TIERS)
-		return waited || e->pending == 0;
+		return waited || e->pending == e->probes_due;
 	return waited && (e->agent_changes != agents->changes || !e->complete);
 }
 
@@ -416,13 +416,13 @@
  * query and FIND_NOT_HELD after each probe; it gets several queries when this
  * balancer also runs a proxied search for the flow, or repeats a query.
  */
-static bool
+static void
 update_query(struct search *e, struct search_query *q, enum find_result where)
 {
 	bool unknown = where == FIND_UNKNOWN;
 
 	if (q->answered && !q->replied_unknown)
-		return false;
+		return;
 	if (unknown && !q->replied_unknown) {
 		e->unknown_count++;
 		e->probing++;
@@ -430,26 +430,59 @@
 		e->probing -= q->replied_unknown ? 1 : 0;
 		e->pending--;
 	}
+	e->probes_due += (unknown ? 1 : 0) - (q->probe_due ? 1 : 0);
+	q->probe_due = unknown;
 	q->answered = true;
 	q->replied_unknown = unknown;
-	return unknown;
 }
 
-bool
+void
 search_handle_reply(struct search *e, uint64_t agent, enum find_result where)
 {
 	for (size_t i = 0; i < e->query_count; i++) {
-		if (e->queries[i].agent == agent)
-			return update_query(e, &e->queries[i], where);
+		if (e->queries[i].agent == agent) {
+			update_query(e, &e->queries[i], where);
+			return;
+		}
 	}
-	return false;
+}
+
+uint64_t
+search_take_probe(struct search *e)
+{
+	for (size_t i = 0; i < e->query_count && e->probes_due > 0; i++) {
+		if (!e->queries[i].probe_due)
+			continue;
+		e->queries[i].probe_due = false;
+		e->probes_due--;
+		return e->queries[i].agent;
+	}
+	return 0;
+}
+
+bool
+search_has_queried_all(const struct search *e, uint64_t now, uint64_t lag_ms)
+{
+	uint64_t ms = SEARCH_TIER_TIMEOUT_MS + SEARCH_LAG_FACTOR * lag_ms;
+
+	return e->tier == SEARCH_TIERS &&
+	       (e->pending == e->probing ||
+		   now >= e->last_query_ns + ms * NS_PER_MS);
+}
+
+bool
+search_is_answered(const struct search *e, const struct agents *agents)
+{
+	return e->tier == SEARCH_TIERS && e->pending == e->probing &&
+	       e->complete && e->agent_changes == agents->changes;
 }
 
 bool
 search_has_expired(const struct search *e, uint64_t now, uint64_t lag_ms)
 {
+	/* Probes that are still due need the held packets. */
 	bool mostly_unknown =
-	    e->probing > 0 && 2 * e->unknown_count > e->query_count;
+	    e->probing > e->probes_due && 2 * e->unknown_count > e->query_count;
 	uint64_t timeout_ms =
 	    mostly_unknown ? SEARCH_UNKNOWN_TIMEOUT_MS : SEARCH_TIMEOUT_MS;
 
--- a/src/flow/search.h
+++ b/src/flow/search.h
@@ -80,6 +80,8 @@
 	uint32_t domain;     /**< a delegate's failure domain; 0 for an agent */
 	uint64_t queried_ns; /**< a delegate: time of the first query */
 	bool answered;	     /**< an agent replied; a delegate's query ended */
+	bool probe_due; /**< an agent replied FIND_UNKNOWN, and no probe was
+			   sent to it yet */
 	bool replied_unknown; /**< FIND_UNKNOWN: an agent probes its target; a
 				 delegate's agents have to be queried */
 	bool failed; /**< a delegate timed out or replied FIND_UNKNOWN */
@@ -98,8 +100,9 @@
 	unsigned tier;		/**< next tier, enum search_tier */
 	struct search_query *queries;
 	size_t query_count;
-	size_t pending; /**< queries that no FIND_NOT_HELD has ended */
-	size_t probing; /**< of those, agents that probe their target */
+	size_t pending;	   /**< queries that no FIND_NOT_HELD has ended */
+	size_t probing;	   /**< of those, agents that replied FIND_UNKNOWN */
+	size_t probes_due; /**< of those, the ones that got no probe yet */
 	size_t delegates_pending; /**< of those, to delegates */
 	size_t unknown_count;	  /**< agents that replied FIND_UNKNOWN at least
 				     once */
@@ -197,10 +200,21 @@
 /**
  * Handle an agent's FIND_NOT_HELD or FIND_UNKNOWN. FIND_NOT_HELD is final: a
  * later FIND_UNKNOWN of the same agent changes nothing.
- * @return whether the agent's target has to be probed
  */
-bool search_handle_reply(
+void search_handle_reply(
     struct search *e, uint64_t agent, enum find_result where);
+/** Take the next agent whose target has to be probed; 0 for none. */
+uint64_t search_take_probe(struct search *e);
+/**
+ * Whether all known agents were queried and, but for those that have left the
+ * queries unanswered for long, have replied.
+ * @param lag_ms scheduling lag of this process
+ */
+bool search_has_queried_all(
+    const struct search *e, uint64_t now, uint64_t lag_ms);
+/** Whether all agents were queried and have replied, with FIND_NOT_HELD or
+ * FIND_UNKNOWN. */
+bool search_is_answered(const struct search *e, const struct agents *agents);
 /** Whether the timeout of a search, extended by the lag, has passed. */
 bool search_has_expired(const struct search *e, uint64_t now, uint64_t lag_ms);
 /**
--- a/tests/unit/flow_scripted.c
+++ b/tests/unit/flow_scripted.c
@@ -134,10 +134,11 @@
 {
 	static const char *const names[] = {"flow-open", "flow-reuse",
 	    "flow-search", "flow-delegates", "flow-coverage", "flow-members",
-	    "flow-watch", "flow-agent", "flow-lists", "flow-port-reuse",
-	    "flow-snapshot", "flow-target", "flow-queue", "platform",
-	    "foreign-objects", "logs", "evacuation", "evacuation-spread",
-	    "cold-limit", "flow-capacity", "flow-admission", "domain-share"};
+	    "flow-watch", "flow-agent", "flow-lists", "flow-probes",
+	    "flow-port-reuse", "flow-snapshot", "flow-target", "flow-queue",
+	    "platform", "foreign-objects", "logs", "evacuation",
+	    "evacuation-spread", "cold-limit", "flow-capacity",
+	    "flow-admission", "domain-share"};
 
 	signal(SIGPIPE, SIG_IGN);
 	if (sodium_init() < 0)
--- a/tests/unit/script_flow_agent.c
+++ b/tests/unit/script_flow_agent.c
@@ -52,10 +52,16 @@
 {
 	static const char *const names[] = {"held", "not held", "unknown"};
 
-	for (uint32_t i = 0; i < list->count; i++)
-		script_printf("  %s: %s at %u is %s\n", format_address_name(to),
-		    format_address_name(list->flows[i].flow.caller),
-		    list->flows[i].ack, names[list->flows[i].where]);
+	for (uint32_t i = 0; i < list->count; i++) {
+		const struct find_item *f = &list->flows[i];
+
+		script_printf("  %s: %s at %u is %s", format_address_name(to),
+		    format_address_name(f->flow.caller), f->ack,
+		    names[f->where]);
+		if (f->probed_ms != 0)
+			script_printf(", probed %u ms ago", f->probed_ms);
+		script_printf("\n");
+	}
 }
 
 static uint32_t last_failing;
@@ -275,7 +281,8 @@
 	fa_handle_target_packet(&fa, &p, script_now_ns);
 }
 
-/* find BALANCER CALLER SERVICE-ADDRESS ACK: a FIND message */
+/* find BALANCER CALLER SERVICE-ADDRESS ACK [MS]: a FIND message; the balancer
+ * knows of a probe of the flow MS ago */
 void
 do_find(const char *arg, const char *body)
 {
@@ -288,6 +295,7 @@
 	m.u.find.count = 1;
 	m.u.find.flows[0].flow = parse_flow(w.word[1], w.word[2]);
 	m.u.find.flows[0].ack = words_get_u32(&w, 3);
+	m.u.find.flows[0].probed_ms = words_get_u32(&w, 4);
 	fa_handle_message(&fa, &m, script_now_ns);
 }
 
--- a/tests/unit/script_flow_balancer.c
+++ b/tests/unit/script_flow_balancer.c
@@ -106,18 +106,24 @@
 	    "held", "not_held", "unknown", "pending"};
 
 	(void)ctx;
-	if (m->kind == FLOW_MSG_FIND)
-		script_printf("  query %s about %u\n", format_address_name(to),
+	if (m->kind == FLOW_MSG_FIND) {
+		script_printf("  query %s about %u", format_address_name(to),
 		    m->u.find.count);
+		if (m->u.find.flows[0].probed_ms != 0)
+			script_printf(", the first probed %u ms ago",
+			    m->u.find.flows[0].probed_ms);
+		script_printf("\n");
+	}
 	for (uint32_t i = 0; m->kind == FLOW_MSG_FOUND && i < m->u.find.count;
 	     i++) {
 		const struct find_item *f = &m->u.find.flows[i];
 
-		script_printf("  reply to %s: %s %s%s%s\n",
+		script_printf("  reply to %s: %s %s%s%s%s\n",
 		    format_address_name(to),
 		    format_address_name(f->flow.caller), answers[f->where],
 		    f->owner != 0 ? " " : "",
-		    f->owner != 0 ? format_address_name(f->owner) : "");
+		    f->owner != 0 ? format_address_name(f->owner) : "",
+		    f->probed_ms != 0 ? ", probed before" : "");
 	}
 	if (m->kind == FLOW_MSG_BALANCER && print_offers) {
 		script_printf("  offer version %u to %s",
@@ -434,7 +440,7 @@
 
 /*
  * found AGENT|BALANCER CALLER SERVICE-ADDRESS held|not_held|unknown|pending
- *	[OWNER|- [ACK]]
+ *	[OWNER|- [ACK [MS]]]: the sender knows of a probe of the flow MS ago
  */
 void
 do_found(const char *arg, const char *body)
@@ -455,6 +461,7 @@
 	m.u.find.flows[0].owner =
 	    w.count > 4 ? parse_address_name(w.word[4]) : 0;
 	m.u.find.flows[0].ack = words_get_u32(&w, 5);
+	m.u.find.flows[0].probed_ms = words_get_u32(&w, 6);
 	receive_message(&m);
 }
 
