tests/standins, scripts/faultsoak: planned restarts that overlap; stray packets

The fault soak had no restart of all balancers at their addresses, none of agents in turn while balancers are replaced, and did not see packets of an open flow that reach other targets alone. It has both faults now, and counts three or more such packets over 2 s, without one at the flow's own target, as a violation.

A reset that is counted states its number and the caller's, to tell a refusal from a flow that was given up.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -184,6 +184,8 @@
 check real check_real
 if [ -z "${NO_FAULTSOAK:-}" ]; then
 	check faultsoak-1 scripts/faultsoak.sh 1 10 12
+	# Two balancers for three failure domains.
+	check faultsoak-15 scripts/faultsoak.sh 15 60 11
 fi
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
--- a/scripts/faultsoak.sh
+++ b/scripts/faultsoak.sh
@@ -44,7 +44,7 @@
 	kill -STOP "${pid_of[$1]}"
 	(
 		sleep 1.$((RANDOM % 10))
-		kill -CONT "${pid_of[$1]}"
+		kill -CONT "${pid_of[$1]}" 2>/dev/null
 	) &
 }
 
@@ -75,6 +75,33 @@
 	done
 }
 
+# Restart all balancers at their addresses as planned work that overlaps.
+restart_balancers() {
+	local n old=()
+	for ((n = first_balancer; n < first_balancer + balancers; n++)); do
+		kill -CONT "${pid_of[b$n]}" 2>/dev/null
+		kill -TERM "${pid_of[b$n]}" 2>/dev/null
+		old+=("${pid_of[b$n]}")
+		sleep 0.$((RANDOM % 4))
+	done
+	wait "${old[@]}" 2>/dev/null
+	for ((n = first_balancer; n < first_balancer + balancers; n++)); do
+		flow_balancer $n
+	done
+}
+
+# Restart every second agent in turn, and the first of them twice.
+roll_agents() {
+	local n
+	for ((n = RANDOM % 2; n < targets; n += 2)); do
+		restart flow_agent $n TERM
+		sleep 0.$((RANDOM % 5 + 5))
+	done
+	last_fault_s[a0]=-9
+	last_fault_s[a1]=-9
+	restart flow_agent $((n % 2)) TERM
+}
+
 # Count the processes that have ended by themselves.
 count_ended() {
 	local n ended=0
@@ -89,7 +116,7 @@
 
 inject_random_fault() {
 	local b=$((first_balancer + RANDOM % balancers)) a=$((RANDOM % targets))
-	case $((RANDOM % 12)) in
+	case $((RANDOM % 14)) in
 	0) restart flow_balancer $b KILL ;;
 	1) restart flow_balancer $b TERM ;;
 	2) freeze b$b ;;
@@ -102,6 +129,9 @@
 	10) change_bounds ;;
 	11) fault restore && hall away && { sleep 0.3; hall restore; hall back; } ;;
 	9) had_recent_fault all || { replace_balancers && fault replace; } ;;
+	12) had_recent_fault all || { fault restart all; restart_balancers; } ;;
+	13) had_recent_fault all || { replace_balancers && fault replace and roll &&
+	    roll_agents; } ;;
 	esac
 }
 
@@ -122,7 +152,7 @@
 behind=$((balancers - $(hall_versions | grep -c "^$(hall_field version)\$")))
 ended=$(count_ended)
 hall_end
-violations=$(($(hall_last resets) + $(hall_last misrouted) +
+violations=$(($(hall_last resets) + $(hall_last strays) + $(hall_last misrouted) +
     $(hall_last mixed) + $(hall_last changed) + $(hall_last late) + stuck + behind + ended))
 tail -n 1 "$lab/hall.out"
 echo "stuck $stuck balancers-behind $behind ended $ended"
--- a/tests/standins/testbed.c
+++ b/tests/standins/testbed.c
@@ -36,13 +36,13 @@
 {
 	const struct testbed_counts *c = &testbed.counts;
 
-	printf(
-	    "requests %llu answers %llu lost %llu resets %llu misrouted %llu "
-	    "mixed %llu changed %llu late %llu checks %llu version %u\n",
+	printf("requests %llu answers %llu lost %llu resets %llu strays %llu "
+	       "misrouted %llu "
+	       "mixed %llu changed %llu late %llu checks %llu version %u\n",
 	    (unsigned long long)c->requests, (unsigned long long)c->answers,
 	    (unsigned long long)c->lost, (unsigned long long)c->resets,
-	    (unsigned long long)c->misrouted, (unsigned long long)c->mismatched,
-	    (unsigned long long)c->corrupted,
+	    (unsigned long long)c->strays, (unsigned long long)c->misrouted,
+	    (unsigned long long)c->mismatched, (unsigned long long)c->corrupted,
 	    (unsigned long long)c->late_openings, (unsigned long long)c->checks,
 	    testbed_store_version());
 	fflush(stdout);
--- a/tests/standins/testbed.h
+++ b/tests/standins/testbed.h
@@ -42,6 +42,8 @@
 	uint64_t answers; /**< responses that match their request */
 	uint64_t lost;	 /**< requests without a response within the deadline */
 	uint64_t resets; /**< RSTs on a flow whose target is alive */
+	uint64_t strays; /**< packets of an open flow that reached other targets
+			    for too long, and none its own */
 	uint64_t misrouted;	/**< openings at a target of another service */
 	uint64_t mismatched;	/**< responses to another flow's request */
 	uint64_t corrupted;	/**< packets with a wrong checksum */
@@ -121,6 +123,13 @@
  * incarnation.
  */
 bool testbed_target_is_alive(size_t n, uint32_t incarnation);
+/**
+ * Record that a packet of a flow reached a target.
+ * @param target index of the target
+ * @param held whether the target holds the flow
+ */
+void testbed_callers_record_packet(struct testbed *h,
+    const struct testbed_packet *p, size_t target, bool held);
 /** Open the routers and callers; exits on failure. */
 void testbed_callers_open(struct testbed *h);
 
--- a/tests/standins/testbed_callers.c
+++ b/tests/standins/testbed_callers.c
@@ -12,6 +12,10 @@
 #define PAUSE_MS 120
 /** Number of requests on a flow before the caller closes it. */
 #define REQUESTS_PER_FLOW 25
+/** Bound from the users' documentation: of an open flow's packets, this many in
+ * a row over this time in ms must not all reach other targets. */
+#define STRAYS_MIN 3
+#define STRAY_WINDOW_MS 2000
 /** Interval in ms of the routers' readiness probes. */
 #define PROBE_PERIOD_MS 300
 /** Failed probes in a row that take a balancer out of rotation. */
@@ -42,6 +46,8 @@
 	uint64_t started_ms;
 	size_t target;
 	uint32_t incarnation;
+	unsigned strays; /**< packets in a row that reached other targets */
+	uint64_t first_stray_ms;
 	char request[32];
 };
 
@@ -141,6 +147,7 @@
 	c->seq = (uint32_t)rng_next(&h->rng);
 	c->retries = 0;
 	c->answered = 0;
+	c->strays = 0;
 	c->started_ms = testbed_now_ms();
 	send_packet(c, BIT_SYN, "");
 	start_timer(c, RETRY_MS);
@@ -209,7 +216,7 @@
 }
 
 static void
-on_reset(struct caller *c)
+on_reset(struct caller *c, uint32_t number)
 {
 	/* A RST in response to a SYN means that no target accepted the flow. */
 	if (c->state != CALLER_OPENING && c->state != CALLER_IDLE &&
@@ -217,9 +224,9 @@
 		c->testbed->counts.resets++;
 		fprintf(stderr,
 		    "reset at %llu ms: caller %zu port %u, target %zu is "
-		    "alive\n",
+		    "alive; number %u, acknowledged %u\n",
 		    (unsigned long long)testbed_now_ms(), c->n, c->port,
-		    c->target);
+		    c->target, number, c->ack);
 	}
 	c->state = CALLER_IDLE;
 	start_timer(c, PAUSE_MS);
@@ -236,7 +243,7 @@
 	if (!testbed_packet_decode(h, bytes, &p) || p.dst.port != c->port)
 		return;
 	if ((p.flags & BIT_RST) != 0) {
-		on_reset(c);
+		on_reset(c, p.seq);
 		return;
 	}
 	if ((p.flags & BIT_SYN) != 0) {
@@ -266,6 +273,44 @@
 	start_timer(c, PAUSE_MS);
 }
 
+static void
+record_stray(struct caller *c, size_t target)
+{
+	uint64_t now = testbed_now_ms();
+
+	if (target == c->target ||
+	    !testbed_target_is_alive(c->target, c->incarnation))
+		return;
+	if (c->strays++ == 0)
+		c->first_stray_ms = now;
+	if (c->strays < STRAYS_MIN || now < c->first_stray_ms + STRAY_WINDOW_MS)
+		return;
+	c->testbed->counts.strays++;
+	fprintf(stderr,
+	    "stray at %llu ms: %u packets of caller %zu port %u, the last at "
+	    "target %zu, none at target %zu\n",
+	    (unsigned long long)now, c->strays, c->n, c->port, target,
+	    c->target);
+	c->strays = 0;
+}
+
+void
+testbed_callers_record_packet(
+    struct testbed *h, const struct testbed_packet *p, size_t target, bool held)
+{
+	size_t n = p->src.ip - testbed_addr(h, 4, 0, 0).ip;
+	struct caller *c = &callers[n];
+
+	if (n >= h->callers || p->src.port != c->port ||
+	    (c->state != CALLER_WAITING && c->state != CALLER_PAUSE))
+		return;
+	h->counts.checks++;
+	if (held)
+		c->strays = 0;
+	else
+		record_stray(c, target);
+}
+
 void
 testbed_callers_open(struct testbed *h)
 {
--- a/tests/standins/testbed_targets.c
+++ b/tests/standins/testbed_targets.c
@@ -132,6 +132,7 @@
 		handle_opening(t, &p, f);
 		return;
 	}
+	testbed_callers_record_packet(t->testbed, &p, t->n, f != NULL);
 	if (f == NULL) {
 		char copy[TESTBED_HEADER_LEN + 64];
 
