--- a/src/flow/agent.c
+++ b/src/flow/agent.c
@@ -10,11 +10,11 @@
  * answers to openings, in ms. With it in each answer, an agent with 160
  * openings a second sent 13.5 kB/s, more than the bound of 13 kB/s. */
 #define WORK_REPORT_MS 1000
-/** Flows of which the target returned a probe are remembered up to this number
- * and for this time in ms: longer than balancers take to know all agents, after
- * which a search for the flow succeeds. */
-#define RETURNED_FLOWS_MAX 1024
-#define RETURNED_KEEP_MS 30000
+/** Flows that were probed, here or at other targets, are remembered up to this
+ * number and for this time in ms: longer than balancers take to know all
+ * agents, after which a search for the flow succeeds. */
+#define PROBED_FLOWS_MAX 1024
+#define PROBED_KEEP_MS 30000
 /** A target returns a packet within a fraction of this, in ms. If it sends any
  * packet later than this after a probe, without having returned the probe, it
  * holds the probe's flow. */
@@ -33,7 +33,7 @@
 	    .setup = *setup, .callbacks = callbacks, .ctx = ctx, .ctr = ctr};
 	fa->flows.capacity = setup->flow_capacity;
 	fa->returned = (struct flow_times){
-	    .capacity = RETURNED_FLOWS_MAX, .keep_ms = RETURNED_KEEP_MS};
+	    .capacity = PROBED_FLOWS_MAX, .keep_ms = PROBED_KEEP_MS};
 	fa->probed = fa->returned;
 	fa->target.service = flow_service_tag(str_of(setup->service));
 	fa->target.address = setup->target;
--- a/src/flow/balancer_probes.c
+++ b/src/flow/balancer_probes.c
@@ -5,8 +5,9 @@
 /** Cost of a packet that an agent probes at its target, in queries. */
 #define PROBE_COST_QUERIES INT64_C(3)
 /** Packets of a flow go to targets that may not hold it for at most this long,
- * in ms, unless all agents are known, and so the one that holds it: users allow
- * 2 s in which packets of a flow reach other targets alone. */
+ * in ms, unless the one that holds it must be among them. Users allow 2 s in
+ * which packets of a flow reach other targets alone, and a flow may move to
+ * another balancer meanwhile. */
 #define PROBE_WINDOW_MS 1000
 
 static void
--- a/src/flow/message.h
+++ b/src/flow/message.h
@@ -171,9 +171,9 @@
 	uint64_t owner;	    /**< FOUND from a delegate: the agent that holds the
 			       flow, or the only one that replied FIND_UNKNOWN;
 			       0 for none or several */
-	uint32_t probed_ms; /**< time since a packet of the flow
-			       first reached a target that does not hold it; 0
-			       if the sender knows of none */
+	uint32_t probed_ms; /**< time since a packet of the flow first reached a
+			       target that does not hold it; 0 if the sender
+			       knows of none */
 };
 
 /** A query for flows, or the reply to it. */
