--- a/src/flow/agent.h
+++ b/src/flow/agent.h
@@ -143,7 +143,7 @@
 	uint64_t remote_heartbeat_sent_ns; /**< to other failure domains */
 	uint64_t list_query_ns;	 /**< latest request for a list of balancers */
 	uint64_t list_queries;	 /**< requests so far */
-	bool list_pending;	 /**< no list was received since the latest */
+	unsigned list_failures;	 /**< the latest ones without an answer */
 	uint64_t last_expiry_ns; /**< latest removal of idle flows */
 	enum target_state reported_state; /**< state in the latest heartbeat */
 	unsigned immediate_rounds; /**< heartbeats to all balancers that are due
@@ -213,8 +213,7 @@
 void fa_handle_pause(struct fa *fa, uint64_t gap_ms, uint64_t now);
 /** Period in ms of the requests for a list of balancers. */
 uint64_t fa_list_query_period_ms(const struct fa *fa);
-/** Send a heartbeat to a balancer named by the store, and request its list: the
- * agent is isolated, also from balancers that it knows. */
+/** Send a heartbeat to a balancer named by the store, if it is not known. */
 void fa_contact_balancer(struct fa *fa, uint64_t id, uint64_t now);
 /** Begin to leave: refuse openings and report it to the balancers. */
 void fa_leave(struct fa *fa, uint64_t now);
--- a/src/flow/agent_control.c
+++ b/src/flow/agent_control.c
@@ -27,9 +27,13 @@
 /** Rounds of heartbeats sent at once after a change of state. */
 #define STATE_CHANGE_ROUNDS 2
 /** Period of requests for a list of balancers until one confirms that the list
- * is complete, in ms; then isolation_list_period_ms(). A request without an
- * answer is repeated after as long, to another balancer. */
+ * is complete, in ms; then isolation_list_period_ms(). */
 #define LIST_QUERY_STARTUP_MS 1000
+/** A request without an answer is repeated after this, in ms, to another
+ * balancer, at most so often in a row: the one that was asked may have ended,
+ * but if many do not answer, they have no budget left for lists. */
+#define LIST_RETRY_MS 1000
+#define LIST_RETRIES_MAX 2
 /** Period in which idle flows are removed, in ms. */
 #define EXPIRE_INTERVAL_MS 1000
 
@@ -204,7 +208,7 @@
 		return;
 	case FLOW_MSG_PEERS:
 		fa->balancer_seen = true;
-		fa->list_pending = false;
+		fa->list_failures = 0;
 		peers_record(&fa->peers, m->from, now, 0);
 		on_peers(fa, &m->u.peers, now);
 		return;
@@ -330,13 +334,14 @@
 next_list_source(struct fa *fa, uint64_t now)
 {
 	size_t known = peers_count(&fa->peers);
-	uint64_t period_ms = fa->list_pending ? LIST_QUERY_STARTUP_MS
-					      : fa_list_query_period_ms(fa);
+	bool retries = fa->list_failures % (LIST_RETRIES_MAX + 1) != 0;
+	uint64_t period_ms =
+	    retries ? LIST_RETRY_MS : fa_list_query_period_ms(fa);
 
 	if (known == 0 || !fa_has_elapsed(fa->list_query_ns, period_ms, now))
 		return SIZE_MAX;
 	fa->list_query_ns = now;
-	fa->list_pending = true;
+	fa->list_failures++;
 	return (size_t)((fa->setup.incarnation + fa->list_queries++) % known);
 }
 
@@ -446,7 +451,8 @@
 {
 	/* The entry may be of a dead balancer, so it is added to the peers only
 	 * when the balancer replies. */
-	send_heartbeat(fa, id, true, now);
+	if (peers_find(&fa->peers, id) == NULL)
+		send_heartbeat(fa, id, true, now);
 }
 
 void
